--- /dev/null
+++ b/cmd/tillerarch/daemon.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"tillerarch/internal/bookkeeping"
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+	"tillerarch/internal/transport"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	stateWait   = 1500 * time.Millisecond
+	cloudWait   = 10 * time.Second
+	workerWait  = 2 * time.Second
+	followWait  = 8 * time.Second
+	queueLength = 1024
+)
+
+// message is an input with the request it came from, if any.
+type message struct {
+	in coordination.Input
+	x  *transport.Exchange
+}
+
+// daemon ties the core to the world: it feeds the core inputs one at a time
+// and carries its effects out.
+type daemon struct {
+	s       *settings
+	core    *coordination.Core
+	in      chan message
+	server  *transport.Server
+	state   *bookkeeping.State
+	cloud   *transport.Client
+	peers   []*transport.PeerLink
+	workers struct {
+		sync.Mutex
+		clients map[string]*transport.Client
+	}
+	start   time.Time
+	waiting map[coordination.ReqID]*transport.Exchange
+	nextReq coordination.ReqID
+	healthy atomic.Bool
+	stepped atomic.Int64 // unix nanoseconds of the last step
+}
+
+func serve(s *settings) error {
+	runtime.GOMAXPROCS(2)
+	debug.SetMemoryLimit(int64(s.memoryMB * 0.6 * (1 << 20)))
+	debug.SetGCPercent(200)
+	nodes := float64(len(s.peers) + 1)
+	perNode := func(rps float64) *rate.Limiter {
+		return rate.NewLimiter(rate.Limit(rps/nodes), max(int(rps/nodes), 2))
+	}
+	d := &daemon{s: s, in: make(chan message, queueLength), start: time.Now(), waiting: map[coordination.ReqID]*transport.Exchange{}}
+	d.workers.clients = map[string]*transport.Client{}
+	stateTokens := perNode(s.stateRPS)
+	d.state = &bookkeeping.State{
+		Calls:   transport.NewClient(s.state, 6, stateTokens),
+		Watch:   transport.NewClient(s.state, 1, stateTokens),
+		Timeout: stateWait,
+	}
+	d.cloud = transport.NewClient(s.cloud, 3, perNode(s.cloudRPS))
+	for _, a := range s.peers {
+		d.peers = append(d.peers, transport.NewPeerLink(a))
+	}
+	d.core = coordination.New(s.core, d.now())
+	// Sockets for calls of this process's own are kept back.
+	d.server = transport.NewServer(transport.ServerConfig{Addr: s.listen, Back: s.back,
+		MaxConns: max(s.maxSockets-s.maxSockets/8-24, 8), Idle: 120 * time.Second, Slow: 10 * time.Second}, d.request)
+	d.server.Peer = func(frame []byte) {
+		var h coordination.Hint
+		if err := transport.ReadFrame(frame, &h); err != nil {
+			slog.Error("unreadable hint", "err", err)
+			return
+		}
+		d.offer(message{in: coordination.HintInput{Hint: h}})
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- d.server.Run() }()
+	go d.loop()
+	slog.Info("started", "version", version, "member", string(s.core.Member), "listen", s.listen)
+	return fmt.Errorf("listen %s: %w", s.listen, <-failed)
+}
+
+func (d *daemon) now() coordination.Now {
+	t := time.Now()
+	return coordination.Now{Steady: protocol.Instant(t.Sub(d.start)) + 1, Wall: protocol.Millis(t.UnixMilli())}
+}
+
+// offer queues an input unless the queue is full.
+func (d *daemon) offer(m message) bool {
+	select {
+	case d.in <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// tell queues an input that must not be lost.
+func (d *daemon) tell(in coordination.Input) { d.in <- message{in: in} }
+
+// request routes one HTTP request. It runs in the server's loop.
+func (d *daemon) request(x *transport.Exchange) {
+	r := x.Req
+	switch r.Path {
+	case protocol.PathHealth:
+		if r.Method != "GET" {
+			d.refuse(x, 405, "method not allowed")
+		} else if d.healthy.Load() && time.Now().UnixNano()-d.stepped.Load() < int64(2*time.Second) {
+			d.server.Reply(x, 200, 0, []byte(`{}`))
+		} else {
+			d.server.Reply(x, 503, 0, []byte(`{"error":"not ready"}`))
+		}
+		return
+	case protocol.PathBeat:
+		if r.Method != "POST" {
+			d.refuse(x, 405, "method not allowed")
+		} else if !d.offer(message{coordination.BeatInput{Body: r.Body}, x}) {
+			d.refuse(x, 503, "overloaded")
+		}
+		return
+	}
+	verb, id, known, allowed := protocol.Route(r.Method, r.Path)
+	switch {
+	case !known:
+		d.refuse(x, 404, "no such path")
+	case !allowed:
+		d.refuse(x, 405, "method not allowed")
+	case !d.offer(message{coordination.UserInput{Verb: verb, Job: id, Body: r.Body}, x}):
+		d.server.Reply(x, 503, 2, []byte(`{"error":"overloaded"}`))
+	}
+}
+
+func (d *daemon) refuse(x *transport.Exchange, status int, what string) {
+	d.server.Reply(x, status, 0, []byte(`{"error":"`+what+`"}`))
+}
+
+func (d *daemon) loop() {
+	tick := time.NewTicker(tickEvery)
+	for {
+		var m message
+		select {
+		case m = <-d.in:
+		case <-tick.C:
+			m = message{in: coordination.Tick{}}
+		}
+		if m.x != nil {
+			d.nextReq++
+			d.waiting[d.nextReq] = m.x
+			switch v := m.in.(type) {
+			case coordination.UserInput:
+				v.Req = d.nextReq
+				m.in = v
+			case coordination.BeatInput:
+				v.Req = d.nextReq
+				m.in = v
+			}
+		}
+		for _, e := range d.core.Step(d.now(), m.in) {
+			d.carryOut(e)
+		}
+		d.healthy.Store(d.core.Healthy())
+		d.stepped.Store(time.Now().UnixNano())
+	}
+}
+
+func (d *daemon) carryOut(e coordination.Effect) {
+	switch v := e.(type) {
+	case coordination.Reply:
+		if x := d.waiting[v.Req]; x != nil {
+			delete(d.waiting, v.Req)
+			d.server.Reply(x, v.Status, v.RetryAfter, v.Body)
+		}
+	case coordination.Log:
+		slog.Log(context.Background(), v.Level, v.Msg, v.Args...)
+	case coordination.SendHint:
+		for _, p := range d.peers {
+			if err := p.Send(v.Hint); err != nil {
+				slog.Error("hint not sent", "err", err)
+			}
+		}
+	default:
+		go d.call(e)
+	}
+}
+
+// call carries out an effect that waits for an answer.
+func (d *daemon) call(e coordination.Effect) {
+	switch v := e.(type) {
+	case coordination.Commit:
+		o, a, err := d.state.Commit(v.Multi)
+		d.tell(coordination.CommitResult{ID: v.ID, Outcome: o, Answer: a, Err: err})
+	case coordination.Load:
+		items, from, until, err := d.state.Load()
+		d.tell(coordination.LoadResult{Items: items, From: from, Until: until, Err: err})
+	case coordination.Follow:
+		f, err := d.state.Follow(v.From, followWait)
+		d.tell(coordination.FollowResult{From: v.From, News: f, Err: err})
+	case coordination.ReadRev:
+		rev, err := d.state.Rev()
+		d.tell(coordination.RevResult{Rev: rev, Err: err})
+	case coordination.Grant:
+		h, err := d.state.Grant(v.TTL)
+		d.tell(coordination.GrantResult{Hold: h, Err: err})
+	case coordination.Extend:
+		d.tell(coordination.ExtendResult{Hold: v.Hold, Err: d.state.Extend(v.Hold)})
+	case coordination.AskFlavors:
+		var f []protocol.Flavor
+		body, err := d.ask("GET", protocol.PathFlavors, nil)
+		if err == nil {
+			f, err = protocol.ParseFlavors(body)
+		}
+		d.tell(coordination.FlavorsResult{Flavors: f, Err: err})
+	case coordination.SendHire:
+		d.tell(d.hire(v.Hire))
+	case coordination.SendRelease:
+		_, err := d.ask("POST", protocol.PathRelease, protocol.Stalls{Stalls: v.Stalls})
+		d.tell(coordination.ReleaseResult{Stalls: v.Stalls, Err: err})
+	case coordination.AskList:
+		asked := d.now().Steady
+		hosts, err := d.list()
+		d.tell(coordination.ListResult{Asked: asked, Hosts: hosts, Err: err})
+	case coordination.SendDo:
+		r, err := d.do(v)
+		d.tell(coordination.DoResult{Machine: v.Machine, Report: r, Err: err})
+	default:
+		slog.Error("effect without a hand", "type", fmt.Sprintf("%T", e))
+	}
+}
+
+// ask calls the cloud and wants a 200.
+func (d *daemon) ask(method, target string, v any) ([]byte, error) {
+	var body []byte
+	if v != nil {
+		body = protocol.Encode(v)
+	}
+	a, err := d.cloud.Call(method, target, body, cloudWait)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != 200 {
+		return nil, fmt.Errorf("cloud answered %d", a.Status)
+	}
+	return a.Body, nil
+}
+
+func (d *daemon) hire(h protocol.Hire) coordination.HireResult {
+	r := coordination.HireResult{Hire: h}
+	a, err := d.cloud.Call("POST", protocol.PathHosts, protocol.Encode(h), cloudWait)
+	if err != nil {
+		r.Err = err
+		return r
+	}
+	var ans protocol.Stalls
+	var no struct{ Error string }
+	switch a.Status {
+	case 200:
+		if err := json.Unmarshal(a.Body, &ans); err != nil {
+			r.Err = err
+			return r
+		}
+		for _, id := range ans.Stalls {
+			if !id.Valid() {
+				r.Err = fmt.Errorf("cloud names a machine %q", id)
+				return r
+			}
+		}
+		r.Stalls = ans.Stalls
+	case 400:
+		r.Invalid = true
+	case 503:
+		if json.Unmarshal(a.Body, &no) == nil && no.Error == "no capacity" {
+			r.NoCapacity = true
+			break
+		}
+		r.Err = fmt.Errorf("cloud answered 503 %s", no.Error)
+	default:
+		r.Err = fmt.Errorf("cloud answered %d", a.Status)
+	}
+	return r
+}
+
+func (d *daemon) list() ([]protocol.Host, error) {
+	var all []protocol.Host
+	from := protocol.MachineID("")
+	for {
+		body, err := d.ask("GET", protocol.HostsPath(from), nil)
+		if err != nil {
+			return nil, err
+		}
+		var page protocol.Hosts
+		if err := json.Unmarshal(body, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Stalls...)
+		if !page.More || len(page.Stalls) == 0 || len(all) > 100_000 {
+			return all, nil
+		}
+		from = page.Stalls[len(page.Stalls)-1].UID
+	}
+}
+
+func (d *daemon) do(v coordination.SendDo) (*protocol.Report, error) {
+	d.workers.Lock()
+	c := d.workers.clients[v.Addr]
+	if c == nil {
+		if len(d.workers.clients) > 200 {
+			for a, old := range d.workers.clients {
+				old.CloseIdle()
+				delete(d.workers.clients, a)
+			}
+		}
+		c = transport.NewClient(v.Addr, 1, nil)
+		d.workers.clients[v.Addr] = c
+	}
+	d.workers.Unlock()
+	a, err := c.Call("POST", protocol.PathDo, v.Orders.Encode(), workerWait)
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != 200 && a.Status != 409 {
+		return nil, fmt.Errorf("worker answered %d", a.Status)
+	}
+	return protocol.ParseReport(a.Body)
+}
--- /dev/null
+++ b/internal/coordination/cloud.go
@@ -0,0 +1,435 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"sort"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// poolKey names machines of one type, zone and kind: capacity runs out for each alone.
+type poolKey struct {
+	sku    protocol.Sku
+	yard   protocol.Zone
+	loaner bool
+}
+
+// hire is a rental under way.
+type hire struct {
+	req     protocol.Hire
+	at      protocol.Instant
+	out     bool // a request is on its way
+	tryAt   protocol.Instant
+	granted []protocol.MachineID // answered; their records are still to be written
+}
+
+// release is a machine on its way back to the cloud.
+type release struct {
+	tryAt protocol.Instant
+	out   bool
+	done  bool // answered 200: the machine and all on it are gone
+}
+
+// listing is what the cloud's list says of a machine.
+type listing struct {
+	host    protocol.Host
+	seenAt  protocol.Instant // when the list that had it was asked for
+	missing int              // later lists in a row without it
+}
+
+func (c *Core) onFlavors(v FlavorsResult) {
+	c.flavorOut = false
+	if v.Err != nil {
+		c.flavorAt = c.now.Steady.Add(c.jitter(2 * time.Second))
+		c.log(slog.LevelWarn, "machine types are not known", "err", v.Err.Error())
+		return
+	}
+	c.flavors = v.Flavors
+	c.flavorAt = c.now.Steady.Add(c.jitter(c.cfg.SpotCheck))
+	for _, f := range v.Flavors {
+		for _, z := range f.Yards {
+			k := priceKey{f.Sku, z}
+			t := c.spot[k]
+			if t == nil {
+				c.spot[k] = NewThreshold(c.cfg.SpotWindow, c.now.Steady, f.LowPrice, f.Rate)
+				continue
+			}
+			if t.Observe(c.now.Steady, f.LowPrice, f.Rate) {
+				c.log(slog.LevelInfo, "spot halts, price above threshold", "type", string(f.Sku), "zone", string(z),
+					"price", f.LowPrice, "threshold", t.Value())
+			}
+		}
+	}
+}
+
+func (c *Core) tickCloud() {
+	now := c.now.Steady
+	if !c.flavorOut && now >= c.flavorAt {
+		c.flavorOut = true
+		c.emit(AskFlavors{})
+	}
+	if !c.loaded || !c.registered() {
+		return
+	}
+	for id, at := range c.released {
+		if c.since(at) > 90*time.Second {
+			delete(c.released, id)
+		}
+	}
+	c.rent()
+	var names []protocol.MachineID
+	for id, r := range c.releasing {
+		if e := c.mir.Machines[id]; e == nil || !c.mine(&e.Rec) || !e.Rec.Releasing {
+			delete(c.releasing, id)
+			continue
+		}
+		if !r.done && !r.out && now >= r.tryAt && len(names) < protocol.MaxRelease {
+			names = append(names, id)
+		}
+	}
+	if len(names) > 0 && !c.releaseOut {
+		sort.Slice(names, func(i, k int) bool { return names[i] < names[k] })
+		for _, id := range names {
+			c.releasing[id].out = true
+		}
+		c.releaseOut = true
+		c.emit(SendRelease{names})
+	}
+	if !c.listOut && now >= c.listAt {
+		c.listOut = true
+		c.listAt = now.Add(c.jitter(c.cfg.ListEvery))
+		c.emit(AskList{})
+	}
+}
+
+func (c *Core) onRelease(v ReleaseResult) {
+	c.releaseOut = false
+	for _, id := range v.Stalls {
+		r := c.releasing[id]
+		if r == nil {
+			continue
+		}
+		r.out = false
+		if v.Err != nil {
+			r.tryAt = c.now.Steady.Add(c.jitter(time.Second))
+			continue
+		}
+		r.done = true
+	}
+	if v.Err != nil {
+		c.log(slog.LevelWarn, "release failed", "machines", len(v.Stalls), "err", v.Err.Error())
+	}
+}
+
+// giveBack marks an owned machine's record; the release is sent once that is
+// durable, so that nobody places anything there meanwhile.
+func (c *Core) giveBack(b *batch, id protocol.MachineID, why string) {
+	b.machine(id).Releasing = true
+	c.log(slog.LevelInfo, "machine goes back", "machine", string(id), "why", why)
+}
+
+// tickRelease decides whether an owned machine goes back, and why.
+func (c *Core) tickRelease(e *bk.Entry[bk.MachineRecord], m *mstate, cutOff bool) {
+	if e.Rec.Releasing {
+		if c.releasing[m.id] == nil && c.registered() {
+			c.releasing[m.id] = &release{}
+		}
+		return
+	}
+	m.leave = c.reasonToLeave(e, m, cutOff)
+}
+
+func (c *Core) reasonToLeave(e *bk.Entry[bk.MachineRecord], m *mstate, cutOff bool) string {
+	rec := &e.Rec
+	fl := c.flavor(rec.Build)
+	age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
+	if rec.Shift == 0 {
+		if fl == nil {
+			return ""
+		}
+		limit := time.Duration(float64(protocol.Seconds(fl.ReadyS))*c.cfg.BootFactor) + c.cfg.BootExtra
+		if age > limit {
+			return "never came up"
+		}
+		if l := c.listed[m.id]; l != nil && l.host.Stage == protocol.HostFailed {
+			return "failed while it booted"
+		}
+		return ""
+	}
+	quiet := c.since(m.heardAt)
+	if l := c.listed[m.id]; l != nil && c.silent(m) && !cutOff {
+		if l.host.Stage == protocol.HostFailed {
+			return "failed"
+		}
+		if l.missing >= 2 {
+			return "no longer listed"
+		}
+	}
+	if quiet > c.cfg.Lease+c.cfg.SilentReturn && !cutOff && m.held == 0 {
+		return "silent"
+	}
+	if m.faulty && len(rec.Assigned) == 0 {
+		return "faulty"
+	}
+	for _, a := range rec.Assigned {
+		// A withdrawn task that will not go takes its machine with it.
+		if j := c.mir.Jobs[a.Job]; j != nil && j.Rec.Stage == protocol.Withdrawn {
+			js := c.jstate(a.Job)
+			if js.withdrawn == 0 {
+				js.withdrawn = c.now.Steady
+			}
+			if c.since(js.withdrawn) > c.cfg.Cancel*2/5 && (c.silent(m) || c.since(js.withdrawn) > c.cfg.Cancel*3/5) {
+				return "withdrawn task would not go"
+			}
+		}
+	}
+	if len(rec.Assigned) > 0 || c.planned.busy[m.id] || m.rep != nil && c.liveTasks(m) {
+		m.idleSince = 0
+		return ""
+	}
+	if m.idleSince == 0 {
+		m.idleSince = c.now.Steady
+	}
+	idle := c.since(m.idleSince)
+	if idle > c.cfg.IdleReturn && age > c.cfg.MinPaid {
+		return "idle"
+	}
+	return ""
+}
+
+func (c *Core) liveTasks(m *mstate) bool {
+	for i := range m.rep.Pieces {
+		if m.rep.Pieces[i].Stage != protocol.Ended {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onList(v ListResult) {
+	c.listOut = false
+	if v.Err != nil {
+		c.log(slog.LevelDebug, "machine list failed", "err", v.Err.Error())
+		return
+	}
+	if !c.loaded {
+		return
+	}
+	have := map[protocol.MachineID]bool{}
+	for _, h := range v.Hosts {
+		if !h.UID.Valid() {
+			continue
+		}
+		have[h.UID] = true
+		c.listed[h.UID] = &listing{host: h, seenAt: v.Asked}
+	}
+	for id, l := range c.listed {
+		// Lists come late and out of order: one that lacks a machine counts
+		// only if it was asked for well after one that had it.
+		if !have[id] && v.Asked.Sub(l.seenAt) > 0 {
+			if l.missing++; l.missing > 30 {
+				delete(c.listed, id)
+			}
+		}
+	}
+	// A machine that reported but was never listed counts as missing too, once
+	// it must have been.
+	for id, e := range c.mir.Machines {
+		if !have[id] && c.listed[id] == nil && time.Duration(c.now.Wall-e.Rec.Since)*time.Millisecond > 3*c.cfg.ListLag+5*time.Second {
+			c.listed[id] = &listing{host: protocol.Host{UID: id}, seenAt: v.Asked}
+		}
+	}
+}
+
+// strangers are listed machines that no record tells of: late rentals, or ones
+// whose renter died before it wrote them down. They are adopted, to be used or
+// returned.
+func (c *Core) strangers(b *batch) {
+	for id, l := range c.listed {
+		if c.mir.Machines[id] != nil || l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.hasRoom(1) || b.machines[id] != nil {
+			continue
+		}
+		if _, ok := c.released[id]; ok || !c.heir(bk.MachineKey(id)) || c.hiring(id) {
+			continue
+		}
+		b.open(bk.MachineKey(id))
+		b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: 1, Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
+			Loaner: l.host.Loaners, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}
+		c.log(slog.LevelInfo, "unexpected machine adopted from the list", "machine", string(id))
+	}
+}
+
+func (c *Core) hiring(id protocol.MachineID) bool {
+	for _, h := range c.hires {
+		for _, g := range h.granted {
+			if g == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// writeCloud writes what rentals and releases need to be on record.
+func (c *Core) writeCloud(b *batch) {
+	for name, h := range c.hires {
+		if h.granted == nil {
+			continue
+		}
+		missing := 0
+		for _, id := range h.granted {
+			if c.mir.Machines[id] != nil {
+				continue
+			}
+			if _, ok := c.released[id]; ok {
+				continue
+			}
+			missing++
+			if b.machines[id] == nil && b.hasRoom(1) {
+				b.open(bk.MachineKey(id))
+				b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: 1, Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners,
+					Since: c.now.Wall - protocol.Millis(c.since(h.at).Milliseconds())}
+			}
+		}
+		if missing == 0 {
+			delete(c.hires, name)
+		}
+	}
+	for id, e := range c.mir.Machines {
+		if m := c.machines[id]; m != nil && m.leave != "" && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) {
+			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
+				continue
+			}
+			c.giveBack(b, id, m.leave)
+			m.leave = ""
+		}
+	}
+	c.strangers(b)
+}
+
+// rent asks the cloud for what the claimed jobs need and no machine, up or
+// coming, can take.
+func (c *Core) rent() {
+	now := c.now.Steady
+	for _, h := range c.hires {
+		if h.granted == nil && !h.out && now >= h.tryAt {
+			h.out = true
+			c.emit(SendHire{h.req})
+		}
+	}
+	if c.stateDown() || c.since(c.planned.at) > 2*time.Second {
+		return
+	}
+	sort.SliceStable(c.demand, func(i, k int) bool { return c.demand[i].order < c.demand[k].order })
+	open := map[poolKey]bool{}
+	for _, h := range c.hires {
+		open[poolKey{h.req.Build, h.req.Yard, h.req.Loaners}] = true
+	}
+	spots := 0
+	for _, e := range c.mir.Machines {
+		if e.Rec.Loaner {
+			spots++
+		}
+	}
+	for _, w := range c.demand {
+		if c.now.Wall-w.sent < 300 {
+			continue // it may be planned yet
+		}
+		left := w.pieces
+		for _, p := range c.pools(w) {
+			if left <= 0 {
+				break
+			}
+			if open[p.key] || c.since(c.noCapacity[p.key]) < c.cfg.NoCapacity && c.noCapacity[p.key] != 0 {
+				continue
+			}
+			n := min((left+p.per-1)/p.per, c.cfg.HireCap, protocol.MaxHire)
+			if p.key.loaner {
+				n = min(n, c.cfg.SpotCap-spots)
+			}
+			if n <= 0 {
+				continue
+			}
+			open[p.key] = true
+			c.hireSeq++
+			h := &hire{at: now, out: true, req: protocol.Hire{Hire: fmt.Sprintf("%s-%d", c.run, c.hireSeq), Build: p.key.sku, Yard: p.key.yard, Loaners: p.key.loaner, Count: n}}
+			c.hires[h.req.Hire] = h
+			c.log(slog.LevelInfo, "machines are rented", "hire", h.req.Hire, "type", string(p.key.sku), "zone", string(p.key.yard),
+				"spot", p.key.loaner, "count", n, "for", string(w.job))
+			c.emit(SendHire{h.req})
+			left -= n * p.per
+		}
+	}
+	c.demand = c.demand[:0]
+}
+
+type pool struct {
+	key  poolKey
+	per  int // tasks of the job on one machine
+	cost float64
+}
+
+// pools lists what could be rented for a job, cheapest per task first.
+func (c *Core) pools(w want) []pool {
+	var out []pool
+	for i := range c.flavors {
+		f := &c.flavors[i]
+		per := (&room{cores: f.Cores, accels: f.Accelerators, mem: f.MemGB}).fits(w.desc)
+		if per == 0 {
+			continue
+		}
+		for _, z := range f.Yards {
+			if !w.desc.Allowed(f.Sku, z) || w.zone != "" && z != w.zone {
+				continue
+			}
+			out = append(out, pool{poolKey{f.Sku, z, false}, per, f.Rate / float64(min(per, w.pieces))})
+			if t := c.spot[priceKey{f.Sku, z}]; c.spotFor(w.desc) && t != nil && t.Open() {
+				out = append(out, pool{poolKey{f.Sku, z, true}, per, f.LowPrice / float64(min(per, w.pieces))})
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool {
+		a, z := out[i], out[k]
+		if a.cost != z.cost {
+			return a.cost < z.cost
+		}
+		// Controllers differ in the zone that they try first.
+		return weight(string(c.cfg.Member), string(a.key.yard)) > weight(string(c.cfg.Member), string(z.key.yard))
+	})
+	return out
+}
+
+func (c *Core) onHire(v HireResult) {
+	h := c.hires[v.Hire.Hire]
+	if h == nil {
+		return
+	}
+	h.out = false
+	k := poolKey{v.Hire.Build, v.Hire.Yard, v.Hire.Loaners}
+	switch {
+	case v.NoCapacity:
+		c.noCapacity[k] = c.now.Steady
+		delete(c.hires, v.Hire.Hire)
+		c.log(slog.LevelInfo, "cloud has no capacity", "type", string(k.sku), "zone", string(k.yard), "spot", k.loaner)
+	case v.Invalid:
+		c.noCapacity[k] = c.now.Steady
+		delete(c.hires, v.Hire.Hire)
+		c.log(slog.LevelError, "cloud calls the rental malformed", "hire", v.Hire.Hire)
+	case v.Err != nil:
+		// It may have been carried out: the same name is asked again.
+		h.tryAt = c.now.Steady.Add(c.jitter(time.Second))
+		c.log(slog.LevelWarn, "rental without answer is repeated", "hire", v.Hire.Hire, "err", v.Err.Error())
+	default:
+		if len(v.Stalls) < v.Hire.Count {
+			c.noCapacity[k] = c.now.Steady
+		}
+		h.granted = v.Stalls
+		if len(v.Stalls) == 0 {
+			delete(c.hires, v.Hire.Hire)
+		}
+		c.log(slog.LevelInfo, "machines come", "hire", v.Hire.Hire, "machines", len(v.Stalls), "asked", v.Hire.Count)
+	}
+}
--- /dev/null
+++ b/internal/coordination/core.go
@@ -0,0 +1,406 @@
+package coordination
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// Core is the state machine of one controller.
+type Core struct {
+	cfg Config
+	now Now
+	out []Effect
+	rng *rand.Rand
+
+	// What the state service holds, as far as it is known here.
+	mir       *bk.Mirror
+	loaded    bool         // the mirror is whole
+	until     protocol.Rev // it is whole once it has reached this
+	begun     bool         // there is a mirror to go on from; an empty store has revision 0
+	loading   bool
+	following bool
+	followAt  protocol.Instant
+	retryAt   protocol.Instant // next try of load or follow
+	stateOK   protocol.Instant // last answer of the state service
+	stateBad  protocol.Instant // last failure
+	failures  int
+
+	// This process run.
+	run       bk.Run
+	hold      protocol.HoldID // lease of run, or the one to register with
+	self      protocol.Stamp  // stamp of this member's key while run is registered
+	granting  bool
+	extending bool
+	extendAt  protocol.Instant
+	grantAt   protocol.Instant
+
+	// Transactions: one at a time.
+	tokens    *rate.Limiter
+	txID      uint64
+	tx        *txn
+	fence     bool         // a transaction had an unknown outcome
+	minRev    protocol.Rev // the mirror must be as new before the next one
+	minRevAt  protocol.Instant
+	flushAt   protocol.Instant
+	busyCount int
+
+	// Users and workers that wait.
+	submits  map[protocol.JobID]*submit
+	aborts   map[protocol.JobID]*protocol.Instant // being withdrawn
+	waiters  []*waiter
+	revOut   bool // a revision is being read
+	machines map[protocol.MachineID]*mstate
+
+	// Jobs, as far as this process remembers more than the records.
+	jobs map[protocol.JobID]*jstate
+
+	// Cloud.
+	flavors    []protocol.Flavor
+	flavorOut  bool
+	flavorAt   protocol.Instant
+	hires      map[string]*hire
+	hireSeq    int
+	noCapacity map[poolKey]protocol.Instant
+	releasing  map[protocol.MachineID]*release
+	releaseOut bool
+	listOut    bool
+	listAt     protocol.Instant
+	listed     map[protocol.MachineID]*listing
+	released   map[protocol.MachineID]protocol.Instant
+	spot       map[priceKey]*Threshold
+	demand     []want
+
+	peers   map[protocol.Member]peer
+	hintAt  protocol.Instant
+	deadAt  map[bk.Run]protocol.Instant // since when a run is known to be dead
+	planned plan
+	tickAt  protocol.Instant
+	started protocol.Instant
+}
+
+type peer struct {
+	hint Hint
+	at   protocol.Instant
+}
+
+type txn struct {
+	id    uint64
+	multi protocol.Multi
+	fence bool
+	reg   bool // registers this run
+	jobs  []protocol.JobID
+}
+
+// New makes the core of a controller that knows nothing yet.
+func New(cfg Config, now Now) *Core {
+	c := &Core{
+		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
+		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]*protocol.Instant{},
+		machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
+		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
+		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
+		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, deadAt: map[bk.Run]protocol.Instant{},
+		started: now.Steady,
+	}
+	burst := max(int(cfg.WriteRPS*cfg.WriteShare), 2*cfg.TxnOps, 4)
+	c.tokens = rate.NewLimiter(rate.Limit(cfg.WriteRPS*cfg.WriteShare), burst)
+	return c
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) log(l slog.Level, msg string, args ...any) { c.emit(Log{l, msg, args}) }
+
+// steady is the wall-free time as x/time/rate wants it.
+func (c *Core) steady() time.Time { return time.Unix(0, int64(c.now.Steady)) }
+
+func (c *Core) since(t protocol.Instant) time.Duration { return c.now.Steady.Sub(t) }
+
+// jitter gives d, give or take a quarter.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + c.rng.Float64()/2))
+}
+
+// Step takes one input and gives the effects it has.
+func (c *Core) Step(now Now, in Input) []Effect {
+	c.now = now
+	c.out = nil
+	switch v := in.(type) {
+	case UserInput:
+		c.user(v)
+	case BeatInput:
+		c.beat(v)
+	case CommitResult:
+		c.committed(v)
+	case LoadResult:
+		c.onLoad(v)
+	case FollowResult:
+		c.onFollow(v)
+	case RevResult:
+		c.onRev(v)
+	case GrantResult:
+		c.granting = false
+		if c.heard(v.Err) {
+			c.hold = v.Hold
+			c.grantAt = c.now.Steady
+		} else {
+			c.grantAt = c.now.Steady.Add(c.jitter(500 * time.Millisecond))
+		}
+	case ExtendResult:
+		c.onExtend(v)
+	case FlavorsResult:
+		c.onFlavors(v)
+	case HireResult:
+		c.onHire(v)
+	case ReleaseResult:
+		c.onRelease(v)
+	case ListResult:
+		c.onList(v)
+	case DoResult:
+		c.onDo(v)
+	case HintInput:
+		c.peers[v.Hint.Member] = peer{v.Hint, c.now.Steady}
+	case Tick:
+		c.tick()
+	default:
+		panic(fmt.Sprintf("coordination: unknown input %T", in))
+	}
+	c.settle()
+	c.flush()
+	c.follow()
+	return c.out
+}
+
+// follow asks for changes again. Each answer costs a request of a tight
+// budget, so the calls keep a distance unless something waits for the mirror.
+func (c *Core) follow() {
+	now := c.now.Steady
+	if !c.begun || c.following || c.loading || now < c.retryAt {
+		return
+	}
+	if now < c.followAt && c.mir.Rev >= c.minRev && len(c.waiters) == 0 {
+		return
+	}
+	c.following = true
+	c.followAt = now.Add(c.cfg.FollowGap)
+	c.emit(Follow{c.mir.Rev})
+}
+
+// heard notes whether the state service answered.
+func (c *Core) heard(err error) bool {
+	if err == nil || errors.Is(err, bk.ErrGone) || errors.Is(err, bk.ErrTooOld) {
+		if c.failures > 0 {
+			c.log(slog.LevelInfo, "state service answers again", "failures", c.failures)
+		}
+		c.stateOK, c.failures = c.now.Steady, 0
+		return err == nil
+	}
+	if c.failures == 0 {
+		c.log(slog.LevelWarn, "state service does not answer", "err", err.Error())
+	}
+	c.failures++
+	c.stateBad = c.now.Steady
+	return false
+}
+
+// stateDown tells whether a request to the state service would likely fail.
+func (c *Core) stateDown() bool {
+	return !c.loaded || c.failures > 1 && c.since(c.stateOK) > time.Second || c.since(c.stateOK) > c.cfg.HoldTTL
+}
+
+// fresh tells whether new starts may rest on the mirror.
+func (c *Core) fresh() bool {
+	return c.loaded && c.registered() && c.since(c.stateOK) < c.cfg.HoldTTL/2
+}
+
+func (c *Core) registered() bool { return c.self != 0 }
+
+// Healthy tells whether the node can take requests. In an outage that all see
+// it stays healthy: it can answer, if only that the user must come back.
+func (c *Core) Healthy() bool {
+	if !c.loaded || c.run == "" {
+		return false
+	}
+	if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.hint.StateOK && c.since(p.at) < 3*time.Second {
+			return false // it is this node alone that is cut off
+		}
+	}
+	return true
+}
+
+func (c *Core) tick() {
+	now := c.now.Steady
+	if !c.loaded && !c.loading && !c.following && now >= c.retryAt {
+		c.loading = true
+		c.emit(Load{})
+	}
+	if c.hold == 0 && !c.granting && now >= c.grantAt {
+		c.granting = true
+		c.emit(Grant{c.cfg.HoldTTL})
+	}
+	if c.hold != 0 && !c.extending && now >= c.extendAt && c.since(c.grantAt) > c.cfg.HoldTTL/4 {
+		c.extending = true
+		c.extendAt = now.Add(c.jitter(c.cfg.HoldTTL / 4))
+		c.emit(Extend{c.hold})
+	}
+	if now >= c.hintAt {
+		c.hintAt = now.Add(c.jitter(time.Second))
+		c.emit(SendHint{Hint{c.cfg.Member, c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}})
+	}
+	c.tickUsers()
+	if now < c.tickAt {
+		return
+	}
+	c.tickAt = now.Add(200 * time.Millisecond)
+	c.tickRuns()
+	c.tickMachines()
+	c.tickCloud()
+}
+
+func (c *Core) onLoad(v LoadResult) {
+	c.loading = false
+	if !c.heard(v.Err) {
+		c.retryAt = c.now.Steady.Add(c.jitter(500 * time.Millisecond))
+		return
+	}
+	// Records deleted while this node did not follow must not stay: begin anew.
+	c.mir = bk.NewMirror()
+	for _, i := range v.Items {
+		c.mirrorPut(i.Key, i.Data, i.Stamp)
+	}
+	c.mir.Rev = v.From
+	c.until = v.Until
+	c.begun = true
+	c.loaded = c.mir.Rev >= c.until
+	c.log(slog.LevelInfo, "records read", "jobs", len(c.mir.Jobs), "machines", len(c.mir.Machines), "revision", uint64(v.From))
+}
+
+func (c *Core) mirrorPut(key string, data json.RawMessage, stamp protocol.Stamp) {
+	if _, err := c.mir.Put(key, data, stamp); err != nil {
+		c.log(slog.LevelError, "unreadable record is left alone", "key", key, "err", err.Error())
+	}
+}
+
+func (c *Core) onFollow(v FollowResult) {
+	c.following = false
+	if errors.Is(v.Err, bk.ErrTooOld) {
+		c.log(slog.LevelWarn, "changes are no longer kept, records are read again", "from", uint64(v.From))
+		c.loaded, c.begun = false, false
+		c.retryAt = c.now.Steady
+		return
+	}
+	if !c.heard(v.Err) {
+		c.retryAt = c.now.Steady.Add(c.jitter(200 * time.Millisecond))
+		return
+	}
+	if v.From != c.mir.Rev {
+		return
+	}
+	for _, n := range v.News.News {
+		if n.Put != "" {
+			c.mirrorPut(n.Put, n.Data, n.Stamp)
+		} else if c.mir.Delete(n.Delete, n.Stamp) {
+			c.onDeleted(n.Delete)
+		}
+	}
+	c.mir.Rev = max(c.mir.Rev, v.News.Rev)
+	if !c.loaded && c.mir.Rev >= c.until {
+		c.loaded = true
+	}
+	c.checkSelf()
+}
+
+// checkSelf compares this run with what the state service says of it.
+func (c *Core) checkSelf() {
+	if !c.registered() {
+		return
+	}
+	e := c.mir.Members[c.cfg.Member]
+	if e != nil && e.Rec.Run == c.run {
+		c.self = e.Stamp
+		return
+	}
+	if e == nil && c.mir.Rev < protocol.Rev(c.self) {
+		return // the mirror is older than the registration
+	}
+	c.log(slog.LevelWarn, "this run's lease has ended, a new run begins", "run", string(c.run))
+	c.self, c.hold = 0, 0
+}
+
+func (c *Core) onExtend(v ExtendResult) {
+	c.extending = false
+	if errors.Is(v.Err, bk.ErrGone) && v.Hold == c.hold {
+		c.log(slog.LevelWarn, "lease has ended", "run", string(c.run))
+		c.self, c.hold = 0, 0
+	}
+	if !c.heard(v.Err) {
+		c.extendAt = c.now.Steady.Add(c.jitter(300 * time.Millisecond))
+	}
+}
+
+// tickRuns notes since when runs are dead, so that takeovers spread out.
+func (c *Core) tickRuns() {
+	if !c.loaded {
+		return
+	}
+	seen := map[bk.Run]bool{}
+	note := func(r bk.Run) {
+		if r == "" || c.mir.Alive(r) {
+			return
+		}
+		seen[r] = true
+		if _, ok := c.deadAt[r]; !ok {
+			c.deadAt[r] = c.now.Steady
+		}
+	}
+	for _, m := range c.mir.Machines {
+		note(m.Rec.Owner)
+	}
+	for _, j := range c.mir.Jobs {
+		if !j.Rec.Stage.Final() {
+			note(j.Rec.Claim)
+		}
+	}
+	for r := range c.deadAt {
+		if !seen[r] {
+			delete(c.deadAt, r)
+		}
+	}
+}
+
+// heir tells whether this node is the one to take over what key names: the
+// living node of highest weight, so that a dead run's things are spread out.
+func (c *Core) heir(key string) bool {
+	best, bestW := protocol.Member(""), uint64(0)
+	for m, e := range c.mir.Members {
+		if w := weight(string(m), key); e.Rec.Run != "" && (best == "" || w > bestW) {
+			best, bestW = m, w
+		}
+	}
+	return best == c.cfg.Member
+}
+
+func weight(a, b string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range [2]string{a, b} {
+		for i := 0; i < len(s); i++ {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h ^= h >> 31
+	h *= 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
--- /dev/null
+++ b/internal/coordination/io.go
@@ -0,0 +1,224 @@
+// Package coordination decides. Core is a state machine: Step takes an input
+// and the time, and returns what to send, write and answer. It does no I/O,
+// reads no clock and starts no goroutine.
+package coordination
+
+import (
+	"log/slog"
+	"time"
+
+	"tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// Now is the time as one step sees it.
+type Now struct {
+	Steady protocol.Instant
+	Wall   protocol.Millis
+}
+
+// ReqID ties an answer to its request.
+type ReqID uint64
+
+// Inputs of the core.
+type (
+	// UserInput is a request on /work.
+	UserInput struct {
+		Req  ReqID
+		Verb protocol.Verb
+		Job  protocol.JobID
+		Body []byte
+	}
+	// BeatInput is a worker's report.
+	BeatInput struct {
+		Req  ReqID
+		Body []byte
+	}
+	// CommitResult is the outcome of a transaction.
+	CommitResult struct {
+		ID      uint64
+		Outcome bookkeeping.Outcome
+		Answer  protocol.MultiAnswer
+		Err     error
+	}
+	// LoadResult has all records.
+	LoadResult struct {
+		Items       []protocol.Item
+		From, Until protocol.Rev
+		Err         error
+	}
+	// FollowResult has changes.
+	FollowResult struct {
+		From protocol.Rev
+		News *protocol.Followed
+		Err  error
+	}
+	// RevResult is the revision of the state service.
+	RevResult struct {
+		Rev protocol.Rev
+		Err error
+	}
+	// GrantResult is a new lease.
+	GrantResult struct {
+		Hold protocol.HoldID
+		Err  error
+	}
+	// ExtendResult is a renewed lease.
+	ExtendResult struct {
+		Hold protocol.HoldID
+		Err  error
+	}
+	// FlavorsResult has the machine types.
+	FlavorsResult struct {
+		Flavors []protocol.Flavor
+		Err     error
+	}
+	// HireResult answers a rental. NoCapacity: the cloud has none.
+	HireResult struct {
+		Hire       protocol.Hire
+		Stalls     []protocol.MachineID
+		NoCapacity bool
+		Invalid    bool
+		Err        error
+	}
+	// ReleaseResult answers a release.
+	ReleaseResult struct {
+		Stalls []protocol.MachineID
+		Err    error
+	}
+	// ListResult is the cloud's list.
+	ListResult struct {
+		Asked protocol.Instant
+		Hosts []protocol.Host
+		Err   error
+	}
+	// DoResult answers a direct command.
+	DoResult struct {
+		Machine protocol.MachineID
+		Report  *protocol.Report
+		Err     error
+	}
+	// HintInput is what another controller says of itself.
+	HintInput struct{ Hint Hint }
+	// Tick lets time pass.
+	Tick struct{}
+)
+
+// Hint is all that controllers tell each other. Losing one costs time only.
+type Hint struct {
+	Member  protocol.Member
+	StateOK bool // the sender reaches the state service
+}
+
+// Effects of the core.
+type (
+	// Reply answers a request.
+	Reply struct {
+		Req        ReqID
+		Status     int
+		RetryAfter int
+		Body       []byte
+	}
+	// Commit sends a transaction.
+	Commit struct {
+		ID    uint64
+		Multi protocol.Multi
+	}
+	// Load reads all records.
+	Load struct{}
+	// Follow waits for changes.
+	Follow struct{ From protocol.Rev }
+	// ReadRev reads the state service's revision.
+	ReadRev struct{}
+	// Grant asks for a lease.
+	Grant struct{ TTL time.Duration }
+	// Extend renews a lease.
+	Extend struct{ Hold protocol.HoldID }
+	// AskFlavors reads the machine types and prices.
+	AskFlavors struct{}
+	// SendHire rents machines.
+	SendHire struct{ Hire protocol.Hire }
+	// SendRelease gives machines back.
+	SendRelease struct{ Stalls []protocol.MachineID }
+	// AskList reads the machine list.
+	AskList struct{}
+	// SendDo commands a worker directly.
+	SendDo struct {
+		Machine protocol.MachineID
+		Addr    string
+		Orders  protocol.Orders
+	}
+	// SendHint tells the other controllers.
+	SendHint struct{ Hint Hint }
+	// Log is a line for the operator.
+	Log struct {
+		Level slog.Level
+		Msg   string
+		Args  []any
+	}
+)
+
+// Input and Effect are one of the types above.
+type (
+	Input  any
+	Effect any
+)
+
+// Team has a guarantee and a limit; 0 means none.
+type Team struct {
+	Cores, CoresMax, Accels, AccelsMax float64
+}
+
+func (t Team) limited() bool { return t.CoresMax > 0 || t.AccelsMax > 0 }
+
+// Config is what the platform and the operator set.
+type Config struct {
+	Member  protocol.Member
+	Members []protocol.Member // all, this one included
+	Teams   map[string]Team
+
+	Report, Lease, GangWait, GangPeer, Cancel time.Duration
+	WriteRPS                                  float64
+	TxnOps                                    int
+	ValueBytes                                int
+	ListLag                                   time.Duration
+	FollowGap                                 time.Duration
+	Seed                                      uint64
+
+	Tuning
+}
+
+// Tuning is what an operator may change in the properties file.
+type Tuning struct {
+	HoldTTL      time.Duration // lease of a process run
+	FlushGap     time.Duration // least time between transactions that can wait
+	BeatHold     time.Duration // a report with news waits this long for the write
+	WriteShare   float64       // part of the write budget that one controller uses
+	UserWait     time.Duration // a request gets its final answer by then
+	IdleReturn   time.Duration
+	MinPaid      time.Duration
+	BootFactor   float64
+	BootExtra    time.Duration
+	SilentReturn time.Duration // behind the lease's end
+	SpotWindow   time.Duration
+	SpotPeriod   time.Duration
+	SpotMargin   time.Duration
+	SpotCheck    time.Duration
+	SpotCap      int
+	HireCap      int
+	NoCapacity   time.Duration // pause after the cloud had none
+	ListEvery    time.Duration
+}
+
+// DefaultTuning holds the values chosen by measurement; docs/operations.md says how.
+func DefaultTuning() Tuning {
+	return Tuning{
+		HoldTTL: 6 * time.Second, FlushGap: 100 * time.Millisecond, BeatHold: 700 * time.Millisecond,
+		WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
+		IdleReturn: 45 * time.Second, MinPaid: 60 * time.Second,
+		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
+		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 40, HireCap: 12, NoCapacity: 12 * time.Second,
+		ListEvery: 10 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,763 @@
+package coordination
+
+import (
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// room is a machine as the planner sees it.
+type room struct {
+	id     protocol.MachineID
+	rec    *bk.MachineRecord
+	fl     *protocol.Flavor
+	coming bool // rented, but not up yet: nothing is written to it
+	closed bool // takes no new task
+	cores  float64
+	accels float64
+	mem    float64
+	used   []held
+	pulls  int // tasks planned or assigned whose image may still be fetched
+}
+
+// held is what a job has on a machine.
+type held struct {
+	job   protocol.JobID
+	try   protocol.Attempt
+	n     int
+	desc  *protocol.Job
+	order int
+}
+
+// task of a job in the planner's order.
+type queued struct {
+	id     protocol.JobID
+	rec    *bk.JobRecord
+	order  int
+	due    protocol.Millis
+	late   bool
+	zones  map[protocol.Zone]int
+	placed int
+	done   int
+}
+
+// want is demand that no machine, up or coming, can take.
+type want struct {
+	job    protocol.JobID
+	desc   *protocol.Job
+	pieces int
+	zone   protocol.Zone // the only one it may be in, if not empty
+	order  int
+	sent   protocol.Millis
+}
+
+// plan is what the last pass of the planner found.
+type plan struct {
+	at   protocol.Instant
+	busy map[protocol.MachineID]bool // machines that the plan wants to keep
+}
+
+func (c *Core) nextPlan() protocol.Instant { return c.planned.at.Add(c.cfg.FlushGap) }
+
+func (c *Core) flavor(s protocol.Sku) *protocol.Flavor {
+	for i := range c.flavors {
+		if c.flavors[i].Sku == s {
+			return &c.flavors[i]
+		}
+	}
+	return nil
+}
+
+const eps = 1e-6
+
+func (r *room) fits(j *protocol.Job) int {
+	n := protocol.MaxPieces
+	for _, p := range [3][2]float64{{r.cores, j.Cores}, {r.accels, j.Accelerators}, {r.mem, j.MemGB}} {
+		if p[1] > 0 {
+			n = min(n, int(math.Floor(p[0]/p[1]+eps)))
+		}
+	}
+	return max(n, 0)
+}
+
+func (r *room) take(j *protocol.Job, n int) {
+	r.cores -= float64(n) * j.Cores
+	r.accels -= float64(n) * j.Accelerators
+	r.mem -= float64(n) * j.MemGB
+}
+
+// mayUse tells whether the job's tasks may be on the machine at all.
+func (c *Core) mayUse(j *protocol.Job, r *room) bool {
+	return j.Allowed(r.rec.Build, r.rec.Yard) && (!r.rec.Loaner || c.spotFor(j))
+}
+
+// spotFor tells whether the rule lets the job use spot machines: those that
+// their users allow there and that keep checkpoints.
+func (c *Core) spotFor(j *protocol.Job) bool { return j.Loaners && j.Saves() }
+
+// rooms lists the machines, with what is left on them.
+func (c *Core) rooms(b *batch) []*room {
+	var out []*room
+	for id := range c.mir.Machines {
+		rec := b.viewMachine(id)
+		fl := c.flavor(rec.Build)
+		if fl == nil || b.deletes[bk.MachineKey(id)] {
+			continue
+		}
+		r := &room{id: id, rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
+		r.closed = rec.Releasing || rec.Drain || !c.mir.Alive(rec.Owner) && rec.Owner != c.run
+		for i := range rec.Assigned {
+			a := &rec.Assigned[i]
+			j := b.viewJob(a.Job)
+			if j == nil || j.Desc == nil {
+				r.closed = true // what it takes is not known
+				continue
+			}
+			n := a.Pieces.Len()
+			r.take(j.Desc, n)
+			r.used = append(r.used, held{a.Job, a.Try, n, j.Desc, c.order(j.Desc)})
+		}
+		if rec.Loaner && !r.closed {
+			age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
+			if t := c.spot[priceKey{rec.Build, rec.Yard}]; t != nil && !t.Open() || NearBoundary(id, age, c.cfg.SpotPeriod, c.cfg.SpotMargin) {
+				r.closed = true
+			}
+		}
+		out = append(out, r)
+	}
+	for _, h := range c.hires {
+		fl := c.flavor(h.req.Build)
+		if fl == nil {
+			continue
+		}
+		n := h.req.Count
+		if h.granted != nil {
+			n = 0
+			for _, id := range h.granted {
+				if c.mir.Machines[id] == nil {
+					n++
+				}
+			}
+		}
+		for i := 0; i < n; i++ {
+			out = append(out, &room{id: protocol.MachineID("~" + h.req.Hire), coming: true, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB,
+				rec: &bk.MachineRecord{Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners}})
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
+	return out
+}
+
+// order ranks jobs: a smaller one goes first and may take the place of a
+// larger one. A team within its guarantee goes before all others.
+func (c *Core) order(j *protocol.Job) int {
+	if c.guaranteed(j.Desk) {
+		return -1
+	}
+	return j.Rank.Order()
+}
+
+// guaranteed tells whether a team's unfinished jobs fit into its guarantee.
+func (c *Core) guaranteed(desk string) bool {
+	t := c.cfg.Teams[desk]
+	if t.Cores <= 0 && t.Accels <= 0 || len(c.cfg.Teams) < 2 {
+		return false
+	}
+	cores, accels := 0.0, 0.0
+	for _, e := range c.mir.Jobs {
+		if d := e.Rec.Desc; d != nil && d.Desk == desk && !e.Rec.Stage.Final() {
+			left := float64(d.Pieces - e.Rec.Done.Len())
+			cores += left * d.Cores
+			accels += left * d.Accelerators
+		}
+	}
+	return cores <= t.Cores+eps && accels <= t.Accels+eps
+}
+
+// queue lists the unfinished jobs in the order in which they are served.
+func (c *Core) queue(b *batch, rooms []*room) []*queued {
+	byJob := map[protocol.JobID]*queued{}
+	var out []*queued
+	for id := range c.mir.Jobs {
+		r := b.viewJob(id)
+		if r.Stage.Final() || r.Desc == nil {
+			continue
+		}
+		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: r.Done.Len()}
+		q.due = r.Sent + protocol.Millis(600_000)
+		if r.Desc.DueS != nil {
+			q.due = r.Sent + protocol.Millis(*r.Desc.DueS*1000)
+			q.late = c.now.Wall > q.due
+		}
+		byJob[id] = q
+		out = append(out, q)
+	}
+	for _, r := range rooms {
+		for _, h := range r.used {
+			if q := byJob[h.job]; q != nil {
+				q.placed += h.n
+				q.zones[r.rec.Yard] += h.n
+			}
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, z := out[i], out[k]
+		switch {
+		case a.order != z.order:
+			return a.order < z.order
+		case a.late != z.late:
+			return z.late
+		case a.due != z.due:
+			return a.due < z.due
+		}
+		return a.id < z.id
+	})
+	return out
+}
+
+// zoneRoom tells how many more tasks of the job may be in the zone.
+func (q *queued) zoneRoom(z protocol.Zone) int {
+	d := q.rec.Desc
+	if d.Together {
+		for o, n := range q.zones {
+			if o != z && n > 0 {
+				return 0
+			}
+		}
+	}
+	if d.Scatter {
+		return max((d.Pieces+1)/2-q.zones[z], 0)
+	}
+	return protocol.MaxPieces
+}
+
+// teamRoom tells how many more tasks of the job its team's limit allows.
+func (c *Core) teamRoom(rooms []*room, j *protocol.Job) int {
+	t := c.cfg.Teams[j.Desk]
+	if !t.limited() {
+		return protocol.MaxPieces
+	}
+	cores, accels := 0.0, 0.0
+	for _, r := range rooms {
+		for _, h := range r.used {
+			if h.desc.Desk == j.Desk {
+				cores += float64(h.n) * h.desc.Cores
+				accels += float64(h.n) * h.desc.Accelerators
+			}
+		}
+	}
+	n := protocol.MaxPieces
+	if t.CoresMax > 0 && j.Cores > 0 {
+		n = min(n, int(math.Floor((t.CoresMax-cores)/j.Cores+eps)))
+	}
+	if t.AccelsMax > 0 && j.Accelerators > 0 {
+		n = min(n, int(math.Floor((t.AccelsMax-accels)/j.Accelerators+eps)))
+	}
+	return max(n, 0)
+}
+
+// place plans where all queued tasks go, in order, and writes the part of it
+// that belongs to jobs claimed by this run. Jobs that others have claimed are
+// planned just the same, so that all nodes keep the same room for them.
+func (c *Core) place(b *batch) {
+	c.planned.at = c.now.Steady
+	c.planned.busy = map[protocol.MachineID]bool{}
+	c.demand = c.demand[:0]
+	if len(c.flavors) == 0 {
+		return
+	}
+	rooms := c.rooms(b)
+	for _, q := range c.queue(b, rooms) {
+		c.claim(b, q)
+		if q.rec.Halt > 0 && q.placed == 0 && q.rec.Claim == c.run && b.hasRoom(b.needs("", q.id)) {
+			b.job(q.id).Halt = 0
+			q.rec = b.viewJob(q.id)
+		}
+		if q.rec.Desc.Gang() {
+			c.placeGang(b, q, rooms)
+		} else {
+			c.placeArray(b, q, rooms)
+		}
+	}
+}
+
+// claim takes over jobs whose claimant is dead, and sets attempts aside.
+func (c *Core) claim(b *batch, q *queued) {
+	j := c.jstate(q.id)
+	if q.rec.Claim == c.run {
+		if j.claim != c.run || q.rec.Next > j.end {
+			j.claim, j.next, j.end = c.run, q.rec.Next-attemptBlock+1, q.rec.Next
+		}
+		if j.end-j.next > 8 {
+			return
+		}
+	} else if at, dead := c.deadAt[q.rec.Claim]; !dead || c.since(at) < 500*time.Millisecond ||
+		!c.heir(bk.JobKey(q.id)) && c.since(at) < 10*time.Second {
+		return
+	}
+	if !b.hasRoom(b.needs("", q.id)) {
+		return
+	}
+	r := b.job(q.id)
+	if r.Claim != c.run {
+		c.log(slog.LevelInfo, "job claimed", "job", string(q.id), "from", string(r.Claim))
+	}
+	r.Claim = c.run
+	r.Next += attemptBlock
+	q.rec = r
+}
+
+// ours tells whether this run may write placements of the job now. The mirror
+// must have all that was written before the claim.
+func (c *Core) ours(b *batch, q *queued) bool {
+	e := c.mir.Jobs[q.id]
+	j := c.jstate(q.id)
+	return e != nil && e.Rec.Claim == c.run && j.claim == c.run && j.next < j.end &&
+		c.mir.Rev >= protocol.Rev(e.Stamp) && b.viewJob(q.id).Claim == c.run
+}
+
+// score ranks machines for a task: small types first, so that the large ones
+// stay free for what fits nowhere else; then those that have the image.
+func (c *Core) score(r *room, j *protocol.Job) float64 {
+	s := r.fl.Cores*10 + r.fl.Accelerators*1000
+	if r.coming {
+		s += 1e6
+	}
+	if !c.hasImage(r.id, j.Bundle) && r.fl.FetchGBPerS > 0 {
+		s += min(j.PullGB/r.fl.FetchGBPerS, 60)
+	}
+	if r.rec.Loaner {
+		s -= 5
+	}
+	return s
+}
+
+func (c *Core) hasImage(id protocol.MachineID, bundle string) bool {
+	m := c.machines[id]
+	if m == nil {
+		return false
+	}
+	for i := range m.images {
+		if m.images[i].name == bundle {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) noteImage(id protocol.MachineID, fl *protocol.Flavor, j *protocol.Job) {
+	m := c.mstate(id)
+	for i := range m.images {
+		if m.images[i].name == j.Bundle {
+			m.images = append(m.images[:i], m.images[i+1:]...)
+			break
+		}
+	}
+	m.images = append(m.images, image{j.Bundle, j.PullGB})
+	sum := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		if sum += m.images[i].gb; sum > fl.LocalGB {
+			m.images = append([]image(nil), m.images[i+1:]...)
+			break
+		}
+	}
+}
+
+func (c *Core) candidates(rooms []*room, j *protocol.Job) []*room {
+	var out []*room
+	scores := map[*room]float64{}
+	for _, r := range rooms {
+		if !r.closed && r.fits(j) > 0 && c.mayUse(j, r) {
+			out = append(out, r)
+			scores[r] = c.score(r, j)
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool { return scores[out[i]] < scores[out[k]] })
+	return out
+}
+
+// put notes n planned tasks of the job on the machine.
+func (q *queued) put(r *room, n int, try protocol.Attempt, order int) {
+	r.take(q.rec.Desc, n)
+	r.used = append(r.used, held{q.id, try, n, q.rec.Desc, order})
+	q.zones[r.rec.Yard] += n
+	q.placed += n
+}
+
+// openTasks lists up to max tasks that are neither done nor assigned, in order.
+func (c *Core) openTasks(b *batch, q *queued, max int) []int {
+	have := q.rec.Done
+	for id := range c.mir.Machines {
+		if b.deletes[bk.MachineKey(id)] {
+			continue
+		}
+		rec := b.viewMachine(id)
+		for i := range rec.Assigned {
+			if a := &rec.Assigned[i]; a.Job == q.id {
+				have = have.Union(a.Pieces)
+			}
+		}
+	}
+	for id, r := range b.machines {
+		if c.mir.Machines[id] == nil {
+			for i := range r.Assigned {
+				if r.Assigned[i].Job == q.id {
+					have = have.Union(r.Assigned[i].Pieces)
+				}
+			}
+		}
+	}
+	return have.Gaps(q.rec.Desc.Pieces, max)
+}
+
+func (c *Core) placeArray(b *batch, q *queued, rooms []*room) {
+	d := q.rec.Desc
+	left := d.Pieces - q.done - q.placed
+	if left <= 0 {
+		return
+	}
+	// The written form of what is done must stay within a value: gaps in it
+	// are bounded by the tasks under way.
+	spans := (c.cfg.ValueBytes - 1500) / 14
+	limit := min(left, c.teamRoom(rooms, d), max(spans-q.placed, 0))
+	ours := c.ours(b, q)
+	j := c.jstate(q.id)
+	if ours && c.now.Steady < j.notBefore {
+		ours = false
+	}
+	var open []int
+	if ours {
+		open = c.openTasks(b, q, limit)
+		limit = min(limit, len(open))
+	}
+	for _, r := range c.candidates(rooms, d) {
+		if limit <= 0 {
+			break
+		}
+		n := min(r.fits(d), limit, q.zoneRoom(r.rec.Yard))
+		if n <= 0 {
+			continue
+		}
+		if ours && !r.coming && c.writable(b, r, d) {
+			n = min(n, 200)
+			rec := b.machine(r.id)
+			try := j.next
+			for _, p := range open[:n] {
+				rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
+			}
+			open = open[n:]
+			c.placed(b, q, r, n, try)
+		} else if ours {
+			open = open[n:]
+		}
+		q.put(r, n, 0, q.order)
+		c.planned.busy[r.id] = true
+		left -= n
+		limit -= n
+	}
+	if q.rec.Claim == c.run {
+		if n := min(left, limit); n > 0 {
+			c.demand = append(c.demand, want{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
+		}
+	}
+}
+
+// onlyZone is the zone that the job is bound to by its other tasks.
+func (q *queued) onlyZone() protocol.Zone {
+	if q.rec.Desc.Together {
+		for z, n := range q.zones {
+			if n > 0 {
+				return z
+			}
+		}
+	}
+	return ""
+}
+
+// writable tells whether a placement on the machine fits the transaction.
+func (c *Core) writable(b *batch, r *room, d *protocol.Job) bool {
+	n := b.needs(r.id)
+	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
+		n++
+		if c.mir.Rev < protocol.Rev(c.mir.Teams[d.Desk]) {
+			return false
+		}
+	}
+	return b.hasRoom(n) && len(r.rec.Assigned) < 200
+}
+
+// placed notes a written placement: it rests on the job's stamp, and on the
+// team's where the team has a limit.
+func (c *Core) placed(b *batch, q *queued, r *room, n int, try protocol.Attempt) {
+	d := q.rec.Desc
+	b.on(bk.JobKey(q.id))
+	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
+		b.open(bk.TeamKey(d.Desk))
+		b.teams[d.Desk] = true
+	}
+	j := c.jstate(q.id)
+	b.marks = append(b.marks, func() {
+		j.next = max(j.next, try+1)
+		j.target = ""
+		c.noteImage(r.id, r.fl, d)
+	})
+	c.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
+}
+
+// placeGang places all tasks of a gang that are not done, or none.
+func (c *Core) placeGang(b *batch, q *queued, rooms []*room) {
+	d := q.rec.Desc
+	left := d.Pieces - q.done
+	if q.placed > 0 {
+		for _, r := range rooms {
+			for _, h := range r.used {
+				if h.job == q.id {
+					c.planned.busy[r.id] = true
+				}
+			}
+		}
+		c.finishGang(b, q, rooms)
+		return
+	}
+	if left <= 0 || c.teamRoom(rooms, d) < left {
+		return
+	}
+	zones := []protocol.Zone{""}
+	if d.Together {
+		zones = c.zones()
+	}
+	var best []share
+	for _, z := range zones {
+		s := c.gangShares(q, rooms, z, left, nil)
+		if s != nil && (best == nil || shareCost(s) < shareCost(best)) {
+			best = s
+		}
+	}
+	if best == nil {
+		c.makeRoom(b, q, rooms, zones, left)
+		return
+	}
+	ours := c.ours(b, q) && c.now.Steady >= c.jstate(q.id).notBefore
+	need := 0
+	for _, s := range best {
+		if s.r.coming {
+			ours = false
+		}
+		need += b.needs(s.r.id)
+	}
+	// A gang too large for one transaction is written in several; nobody
+	// starts a task of it before the last one.
+	whole := need <= c.cfg.TxnOps/2
+	if ours && whole && !b.hasRoom(need+1) {
+		ours = false
+	}
+	if !ours {
+		for _, s := range best {
+			q.put(s.r, s.n, 0, q.order)
+			c.planned.busy[s.r.id] = true
+		}
+		return
+	}
+	open := c.openTasks(b, q, left)
+	try := c.jstate(q.id).next
+	for _, s := range best {
+		if c.writable(b, s.r, d) {
+			rec := b.machine(s.r.id)
+			for _, p := range open[:s.n] {
+				rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
+			}
+			c.placed(b, q, s.r, s.n, try)
+		}
+		open = open[s.n:]
+		q.put(s.r, s.n, try, q.order)
+		c.planned.busy[s.r.id] = true
+	}
+}
+
+// finishGang writes what is missing of a gang that did not fit one transaction.
+func (c *Core) finishGang(b *batch, q *queued, rooms []*room) {
+	left := q.rec.Desc.Pieces - q.done - q.placed
+	if left <= 0 || !c.ours(b, q) || q.rec.Halt > 0 {
+		return
+	}
+	j := c.jstate(q.id)
+	var try protocol.Attempt
+	for id := range c.mir.Machines {
+		rec := b.viewMachine(id)
+		for i := range rec.Assigned {
+			if rec.Assigned[i].Job == q.id {
+				try = max(try, rec.Assigned[i].Try)
+			}
+		}
+	}
+	// Only an attempt that this run began just now; any other has lost a task.
+	if try+1 != j.next || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
+		return
+	}
+	for _, s := range c.gangShares(q, rooms, q.onlyZone(), left, nil) {
+		if s.r.coming || !c.writable(b, s.r, q.rec.Desc) {
+			return
+		}
+		open := c.openTasks(b, q, s.n)
+		rec := b.machine(s.r.id)
+		for _, p := range open {
+			rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
+		}
+		c.placed(b, q, s.r, len(open), try)
+		q.put(s.r, len(open), try, q.order)
+	}
+}
+
+type share struct {
+	r *room
+	n int
+}
+
+func shareCost(s []share) float64 {
+	cost := 0.0
+	for _, x := range s {
+		cost += 1
+		if x.r.coming {
+			cost += 1000
+		}
+	}
+	return cost
+}
+
+func (c *Core) zones() []protocol.Zone {
+	seen := map[protocol.Zone]bool{}
+	var out []protocol.Zone
+	for i := range c.flavors {
+		for _, z := range c.flavors[i].Yards {
+			if !seen[z] {
+				seen[z] = true
+				out = append(out, z)
+			}
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i] < out[k] })
+	return out
+}
+
+// gangShares spreads n tasks over the machines of a zone (any, if empty).
+// freed adds what could be made free on a machine.
+func (c *Core) gangShares(q *queued, rooms []*room, z protocol.Zone, n int, freed func(*room) int) []share {
+	var out []share
+	zones := map[protocol.Zone]int{}
+	d := q.rec.Desc
+	list := rooms
+	if freed == nil {
+		list = c.candidates(rooms, d)
+	}
+	for _, r := range list {
+		if n == 0 {
+			break
+		}
+		if z != "" && r.rec.Yard != z || r.closed || !c.mayUse(d, r) {
+			continue
+		}
+		k := r.fits(d)
+		if freed != nil {
+			k = freed(r)
+		}
+		k = min(k, n, q.zoneRoom(r.rec.Yard)-zones[r.rec.Yard])
+		if k <= 0 {
+			continue
+		}
+		zones[r.rec.Yard] += k
+		out = append(out, share{r, k})
+		n -= k
+	}
+	if n > 0 {
+		return nil
+	}
+	return out
+}
+
+// makeRoom chooses machines whose lower-ranked tasks give way to a gang, and
+// keeps them for it. Their owners stop the tasks; every node finds the same
+// ones, as all plan from the same records.
+func (c *Core) makeRoom(b *batch, q *queued, rooms []*room, zones []protocol.Zone, n int) {
+	d := q.rec.Desc
+	if q.rec.Claim == c.run {
+		c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+	}
+	j := c.jstate(q.id)
+	byCost := append([]*room(nil), rooms...)
+	cost := map[*room]int{}
+	for _, r := range byCost {
+		for _, h := range r.used {
+			if h.order > q.order {
+				cost[r] += h.n
+			}
+		}
+		if r.id == j.target {
+			cost[r] = -1
+		}
+	}
+	sort.SliceStable(byCost, func(i, k int) bool { return cost[byCost[i]] < cost[byCost[k]] })
+	var got []share
+	for _, z := range zones {
+		if got = c.gangShares(q, byCost, z, n, func(r *room) int {
+			if r.coming {
+				return 0
+			}
+			f := *r
+			for _, h := range r.used {
+				if h.order > q.order {
+					f.take(h.desc, -h.n)
+				}
+			}
+			return f.fits(d)
+		}); got != nil {
+			break
+		}
+	}
+	for _, s := range got {
+		j.target = s.r.id
+		need := *s.r
+		for _, h := range s.r.used {
+			if need.fits(d) >= s.n {
+				break
+			}
+			if h.order <= q.order {
+				continue
+			}
+			need.take(h.desc, -h.n)
+			if h.try > 0 {
+				c.preempt(s.r, h, q)
+			}
+		}
+		q.put(s.r, s.n, 0, q.order)
+		c.planned.busy[s.r.id] = true
+	}
+}
+
+// preempt stops a job's tasks on an owned machine for one of higher rank.
+func (c *Core) preempt(r *room, h held, for_ *queued) {
+	if !c.mine(r.rec) || c.now.Wall-for_.rec.Sent < 500 {
+		return
+	}
+	m := c.machines[r.id]
+	if m == nil {
+		return
+	}
+	grace := 0.0
+	if h.desc.Saves() {
+		grace = h.desc.StowS + 0.5
+	}
+	for i := range r.rec.Assigned {
+		a := &r.rec.Assigned[i]
+		if a.Job != h.job || a.Try != h.try {
+			continue
+		}
+		a.Pieces.Each(func(n int) bool {
+			c.stop(m, protocol.Task{Job: a.Job, Piece: n}, a.Try, grace, "makes room for "+string(for_.id))
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/internal/protocol/ids.go
@@ -0,0 +1,78 @@
+// Package protocol holds the typed messages that tillerarch exchanges with
+// users, workers, cloud, state service and its own kind, and their validation.
+// Names as they go over the wire stand in this package only.
+package protocol
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Small types of their own, so that one kind of number never stands in for another.
+type (
+	JobID     string // "j-000412"
+	MachineID string // "m-000231"
+	Member    string // name of a controller
+	Zone      string
+	Sku       string // machine type
+	Attempt   uint64 // attempt number of a task
+	Baton     uint64 // fencing token that workers compare
+	Shift     uint64 // a worker's session
+	Tally     uint64 // order of a worker's messages within its session
+	Rev       uint64 // revision of the state service
+	Stamp     uint64 // revision of a key's last change; 0: the key does not exist
+	HoldID    uint64 // lease of the state service
+	Instant   int64  // this process's steady clock, in nanoseconds
+	Millis    int64  // time of day in milliseconds since the epoch
+)
+
+// Add moves an instant by a duration.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub is the time that passed from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Seconds turns a duration of the wire into one of Go.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func validID(s, prefix string) bool {
+	if !strings.HasPrefix(s, prefix) || len(s) <= len(prefix) || len(s) > 40 {
+		return false
+	}
+	for _, r := range s[len(prefix):] {
+		if r < '0' || r > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Valid tells whether the id has the only form that users use.
+func (id JobID) Valid() bool { return validID(string(id), "j-") }
+
+// Valid tells whether the name has the form of the cloud's machine names.
+func (id MachineID) Valid() bool { return validID(string(id), "m-") }
+
+// Task names one task of a job: "j-000412/3".
+type Task struct {
+	Job   JobID
+	Piece int
+}
+
+func (t Task) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Piece) }
+
+// MarshalText writes the task's wire form.
+func (t Task) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+
+// UnmarshalText reads the task's wire form.
+func (t *Task) UnmarshalText(b []byte) error {
+	job, piece, ok := strings.Cut(string(b), "/")
+	n, err := strconv.Atoi(piece)
+	if !ok || err != nil || n < 0 || n >= MaxPieces || !JobID(job).Valid() {
+		return fmt.Errorf("malformed task %q", b)
+	}
+	t.Job, t.Piece = JobID(job), n
+	return nil
+}
