--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -186,7 +186,7 @@
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery,
 	}
-	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor}
+	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss}
 	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.HireCap}
 	for _, k := range p.Keys() {
 		v, _ := p.Get(k)
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -386,7 +386,7 @@
 				continue
 			}
 			out = append(out, pool{poolKey{f.Sku, z, false}, per, f.Rate / float64(min(per, w.pieces))})
-			if t := c.spot[priceKey{f.Sku, z}]; c.spotFor(w.desc) && t != nil && t.Open() {
+			if t := c.spot[priceKey{f.Sku, z}]; c.spotFor(w.desc, f) && t != nil && t.Open() {
 				out = append(out, pool{poolKey{f.Sku, z, true}, per, f.LowPrice / float64(min(per, w.pieces))})
 			}
 		}
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -205,6 +205,7 @@
 	SpotMargin   time.Duration
 	SpotCheck    time.Duration
 	SpotCap      int
+	SpotLoss     float64 // reclaims an hour that a machine is reckoned with
 	HireCap      int
 	NoCapacity   time.Duration // pause after the cloud had none
 	ListEvery    time.Duration
@@ -218,7 +219,7 @@
 		IdleReturn: 45 * time.Second, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 40, HireCap: 12, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 40, SpotLoss: 4, HireCap: 12, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second,
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -92,12 +92,19 @@
 
 // mayUse tells whether the job's tasks may be on the machine at all.
 func (c *Core) mayUse(j *protocol.Job, r *room) bool {
-	return j.Allowed(r.rec.Build, r.rec.Yard) && (!r.rec.Loaner || c.spotFor(j))
+	return j.Allowed(r.rec.Build, r.rec.Yard) && (!r.rec.Loaner || c.spotFor(j, r.fl))
 }
 
-// spotFor tells whether the rule lets the job use spot machines: those that
-// their users allow there and that keep checkpoints.
-func (c *Core) spotFor(j *protocol.Job) bool { return j.Loaners && j.Saves() }
+// spotFor tells whether the job may use spot machines of a type. The rule
+// gives them to jobs that keep checkpoints. The exception: where a task is so
+// short that what a reclaim is expected to cost is less than what spot saves,
+// it may do without (docs/design.md).
+func (c *Core) spotFor(j *protocol.Job, f *protocol.Flavor) bool {
+	if !j.Loaners {
+		return false
+	}
+	return j.Saves() || f.Rate > 0 && j.ReckonS/3600*c.cfg.SpotLoss < 1-f.LowPrice/f.Rate
+}
 
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
