--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -182,17 +182,17 @@
 	}
 	dur := map[string]*time.Duration{
 		"hold.ttl": &t.HoldTTL, "flush.gap": &t.FlushGap, "beat.hold": &t.BeatHold, "user.wait": &t.UserWait,
-		"idle.return": &t.IdleReturn, "paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
+		"paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery,
 	}
-	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss}
+	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss, "idle.factor": &t.IdleFactor}
 	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.HireCap}
 	for _, k := range p.Keys() {
 		v, _ := p.Get(k)
 		var err error
 		if d := dur[k]; d != nil {
-			if *d, err = time.ParseDuration(v); err == nil && (*d < 0 || *d == 0 && k != "idle.return" && k != "spot.margin") {
+			if *d, err = time.ParseDuration(v); err == nil && (*d < 0 || *d == 0 && k != "spot.margin") {
 				err = fmt.Errorf("%q is not above zero", v)
 			}
 		} else if f := num[k]; f != nil {
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -194,12 +194,29 @@
 		m.idleSince = c.now.Steady
 	}
 	idle := c.since(m.idleSince)
-	if idle > c.cfg.IdleReturn && age > c.cfg.MinPaid {
+	if idle > c.idleLimit(m, fl) && age > c.cfg.MinPaid {
 		return "idle"
 	}
 	return ""
 }
 
+// idleLimit is how long an idle machine is kept: about as long as it would
+// take to have its like again, up and with its images.
+func (c *Core) idleLimit(m *mstate, fl *protocol.Flavor) time.Duration {
+	if fl == nil {
+		return time.Minute
+	}
+	again := fl.ReadyS
+	if fl.FetchGBPerS > 0 && len(m.images) > 0 {
+		sum := 0.0
+		for _, i := range m.images {
+			sum += i.gb
+		}
+		again += sum / float64(len(m.images)) / fl.FetchGBPerS
+	}
+	return time.Duration(again * c.cfg.IdleFactor * float64(time.Second))
+}
+
 func (c *Core) liveTasks(m *mstate) bool {
 	for i := range m.rep.Pieces {
 		if m.rep.Pieces[i].Stage != protocol.Ended {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -195,7 +195,7 @@
 	BeatHold     time.Duration // a report with news waits this long for the write
 	WriteShare   float64       // part of the write budget that one controller uses
 	UserWait     time.Duration // a request gets its final answer by then
-	IdleReturn   time.Duration
+	IdleFactor   float64       // of the time it takes to have an idle machine's like again
 	MinPaid      time.Duration
 	BootFactor   float64
 	BootExtra    time.Duration
@@ -216,7 +216,7 @@
 	return Tuning{
 		HoldTTL: 6 * time.Second, FlushGap: 100 * time.Millisecond, BeatHold: 700 * time.Millisecond,
 		WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
-		IdleReturn: 45 * time.Second, MinPaid: 60 * time.Second,
+		IdleFactor: 1, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
 		SpotCheck: 10 * time.Second, SpotCap: 40, SpotLoss: 4, HireCap: 12, NoCapacity: 12 * time.Second,
