--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -83,6 +83,7 @@
 	hintAt  protocol.Instant
 	deadAt  map[bk.Run]protocol.Instant // since when a run is known to be dead
 	planned plan
+	fleetAt protocol.Instant
 	tickAt  protocol.Instant
 	started protocol.Instant
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -278,6 +278,7 @@
 		return
 	}
 	rooms := c.rooms(b)
+	c.logFleet(rooms)
 	for _, q := range c.queue(b, rooms) {
 		c.claim(b, q)
 		if q.rec.Halt > 0 && q.placed == 0 && q.rec.Claim == c.run && b.hasRoom(b.needs("", q.id)) {
@@ -292,6 +293,35 @@
 	}
 }
 
+// logFleet tells, every ten seconds, what is rented and how much of it is in use.
+func (c *Core) logFleet(rooms []*room) {
+	if c.now.Steady < c.fleetAt {
+		return
+	}
+	c.fleetAt = c.now.Steady.Add(10 * time.Second)
+	type sum struct {
+		up, coming  int
+		cores, used float64
+	}
+	sums := map[poolKey]*sum{}
+	for _, r := range rooms {
+		k := poolKey{r.rec.Build, "", r.rec.Loaner}
+		if sums[k] == nil {
+			sums[k] = &sum{}
+		}
+		if r.coming {
+			sums[k].coming++
+			continue
+		}
+		sums[k].up++
+		sums[k].cores += r.fl.Cores
+		sums[k].used += r.fl.Cores - r.cores
+	}
+	for k, s := range sums {
+		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used)
+	}
+}
+
 // claim takes over jobs whose claimant is dead, and sets attempts aside.
 func (c *Core) claim(b *batch, q *queued) {
 	j := c.jstate(q.id)
