--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -720,9 +720,6 @@
 // ones, as all plan from the same records.
 func (c *Core) makeRoom(b *batch, q *queued, rooms []*room, zones []protocol.Zone, n int) {
 	d := q.rec.Desc
-	if q.rec.Claim == c.run {
-		c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
-	}
 	j := c.jstate(q.id)
 	byCost := append([]*room(nil), rooms...)
 	cost := map[*room]int{}
@@ -754,6 +751,9 @@
 			break
 		}
 	}
+	if got == nil && q.rec.Claim == c.run {
+		c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+	}
 	for _, s := range got {
 		j.target = s.r.id
 		need := *s.r
