--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -48,8 +48,10 @@
 	Next  protocol.Attempt `json:"n,omitempty"` // no attempt below it is given out anew
 	Done  Ranges           `json:"v,omitzero"`
 	Halt  protocol.Attempt `json:"h,omitempty"` // this attempt of a gang stops in order
-	Sent  protocol.Millis  `json:"t,omitempty"` // when it was submitted
-	Count int              `json:"k,omitempty"` // of a done job: its tasks
+	// Machines on which room is made for a gang: their owners stop what ranks lower.
+	Room  []protocol.MachineID `json:"m,omitempty"`
+	Sent  protocol.Millis      `json:"t,omitempty"` // when it was submitted
+	Count int                  `json:"k,omitempty"` // of a done job: its tasks
 }
 
 // Assigned are tasks of one job with one attempt on a machine.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -79,13 +79,14 @@
 	spot       map[priceKey]*Threshold
 	demand     []want
 
-	peers   map[protocol.Member]peer
-	hintAt  protocol.Instant
-	deadAt  map[bk.Run]protocol.Instant // since when a run is known to be dead
-	planned plan
-	fleetAt protocol.Instant
-	tickAt  protocol.Instant
-	started protocol.Instant
+	peers      map[protocol.Member]peer
+	hintAt     protocol.Instant
+	deadAt     map[bk.Run]protocol.Instant // since when a run is known to be dead
+	planned    plan
+	assignedAt map[assignment]protocol.Instant
+	fleetAt    protocol.Instant
+	tickAt     protocol.Instant
+	started    protocol.Instant
 }
 
 type peer struct {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -69,7 +69,6 @@
 	failedOn  map[protocol.MachineID]bool
 	failures  int
 	notBefore protocol.Instant
-	target    protocol.MachineID // room is being made there
 	brokenAt  protocol.Instant
 	withdrawn protocol.Instant
 	seenTry   protocol.Attempt
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -279,6 +279,7 @@
 	}
 	rooms := c.rooms(b)
 	c.logFleet(rooms)
+	c.noteAssigned(rooms)
 	for _, q := range c.queue(b, rooms) {
 		c.claim(b, q)
 		if q.rec.Halt > 0 && q.placed == 0 && q.rec.Claim == c.run && b.hasRoom(b.needs("", q.id)) {
@@ -539,7 +540,6 @@
 	j := c.jstate(q.id)
 	b.marks = append(b.marks, func() {
 		j.next = max(j.next, try+1)
-		j.target = ""
 		c.noteImage(r.id, r.fl, d)
 	})
 	c.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
@@ -715,57 +715,35 @@
 	return out
 }
 
-// makeRoom chooses machines whose lower-ranked tasks give way to a gang, and
-// keeps them for it. Their owners stop the tasks; every node finds the same
-// ones, as all plan from the same records.
+// makeRoom keeps machines for a gang that fits nowhere, while their owners stop
+// what ranks lower there. The job's claimant chooses them and writes its choice
+// down: if every owner chose for itself, two could make room for one gang.
 func (c *Core) makeRoom(b *batch, q *queued, rooms []*room, zones []protocol.Zone, n int) {
 	d := q.rec.Desc
-	j := c.jstate(q.id)
-	byCost := append([]*room(nil), rooms...)
-	cost := map[*room]int{}
-	for _, r := range byCost {
-		for _, h := range r.used {
-			if h.order > q.order {
-				cost[r] += h.n
-			}
-		}
-		if r.id == j.target {
-			cost[r] = -1
-		}
-	}
-	sort.SliceStable(byCost, func(i, k int) bool { return cost[byCost[i]] < cost[byCost[k]] })
-	var got []share
-	for _, z := range zones {
-		if got = c.gangShares(q, byCost, z, n, func(r *room) int {
-			if r.coming {
-				return 0
-			}
-			f := *r
-			for _, h := range r.used {
-				if h.order > q.order {
-					f.take(h.desc, -h.n)
-				}
+	ours := c.ours(b, q)
+	got := c.roomKept(q, rooms, n)
+	if got == nil && ours {
+		got = c.cheapestRoom(q, rooms, zones, n)
+		if got == nil {
+			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+		} else if b.hasRoom(b.needs("", q.id)) {
+			r := b.job(q.id)
+			r.Room = nil
+			for _, s := range got {
+				r.Room = append(r.Room, s.r.id)
 			}
-			return f.fits(d)
-		}); got != nil {
-			break
+			c.log(slog.LevelInfo, "room is made for a gang", "job", string(q.id), "machines", r.Room)
 		}
 	}
-	if got == nil && q.rec.Claim == c.run {
-		c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
-	}
+	written := c.mir.Jobs[q.id].Rec.Room
 	for _, s := range got {
-		j.target = s.r.id
 		need := *s.r
-		for _, h := range s.r.used {
+		for _, h := range c.victims(s.r, q) {
 			if need.fits(d) >= s.n {
 				break
 			}
-			if h.order <= q.order {
-				continue
-			}
 			need.take(h.desc, -h.n)
-			if h.try > 0 {
+			if h.try > 0 && contains(written, s.r.id) {
 				c.preempt(s.r, h, q)
 			}
 		}
@@ -774,6 +752,137 @@
 	}
 }
 
+func contains(ids []protocol.MachineID, id protocol.MachineID) bool {
+	for _, i := range ids {
+		if i == id {
+			return true
+		}
+	}
+	return false
+}
+
+// freeable tells how many tasks of the gang fit once what ranks lower is gone.
+func (c *Core) freeable(r *room, q *queued) int {
+	if r.coming {
+		return 0
+	}
+	f := *r
+	for _, h := range c.victims(r, q) {
+		f.take(h.desc, -h.n)
+	}
+	return f.fits(q.rec.Desc)
+}
+
+// roomKept is the choice on record, as long as it still serves.
+func (c *Core) roomKept(q *queued, rooms []*room, n int) []share {
+	if len(q.rec.Room) == 0 {
+		return nil
+	}
+	var list []*room
+	for _, r := range rooms {
+		if contains(q.rec.Room, r.id) {
+			list = append(list, r)
+		}
+	}
+	return c.gangShares(q, list, "", n, func(r *room) int { return c.freeable(r, q) })
+}
+
+// cheapestRoom chooses the machines on which the least work is lost.
+func (c *Core) cheapestRoom(q *queued, rooms []*room, zones []protocol.Zone, n int) []share {
+	cost := map[*room]float64{}
+	list := append([]*room(nil), rooms...)
+	for _, r := range list {
+		cost[r] = c.roomCost(r, q)
+	}
+	sort.SliceStable(list, func(i, k int) bool { return cost[list[i]] < cost[list[k]] })
+	for _, z := range zones {
+		if got := c.gangShares(q, list, z, n, func(r *room) int { return c.freeable(r, q) }); got != nil {
+			return got
+		}
+	}
+	return nil
+}
+
+// roomCost is what making room on a machine costs, in core-seconds: work lost,
+// and cores that wait for tasks to save or for the image.
+func (c *Core) roomCost(r *room, q *queued) float64 {
+	d := q.rec.Desc
+	need, cost, wait := *r, 0.0, 0.0
+	for _, h := range c.victims(r, q) {
+		if need.fits(d) > 0 {
+			break
+		}
+		need.take(h.desc, -h.n)
+		cost += c.lost(r, h)
+		if h.desc.Saves() {
+			wait = max(wait, h.desc.StowS)
+		}
+	}
+	if !c.hasImage(r.id, d.Bundle) && r.fl.FetchGBPerS > 0 {
+		wait += d.PullGB / r.fl.FetchGBPerS
+	}
+	return cost + wait*d.Cores
+}
+
+// lost is the work, in core-seconds, that stopping the tasks would throw away.
+func (c *Core) lost(r *room, h held) float64 {
+	if h.desc.Saves() {
+		return float64(h.n) * h.desc.Cores * h.desc.StowS
+	}
+	age := 0.0
+	if at, ok := c.assignedAt[assignment{r.id, h.job, h.try}]; ok {
+		age = c.since(at).Seconds()
+	}
+	return float64(h.n) * h.desc.Cores * age
+}
+
+// assignment is the tasks of a job that one attempt has on a machine.
+type assignment struct {
+	machine protocol.MachineID
+	job     protocol.JobID
+	try     protocol.Attempt
+}
+
+// noteAssigned remembers since when tasks have been on their machines.
+func (c *Core) noteAssigned(rooms []*room) {
+	next := make(map[assignment]protocol.Instant, len(c.assignedAt))
+	for _, r := range rooms {
+		for _, h := range r.used {
+			k := assignment{r.id, h.job, h.try}
+			at, ok := c.assignedAt[k]
+			if !ok {
+				at = c.now.Steady
+			}
+			next[k] = at
+		}
+	}
+	c.assignedAt = next
+}
+
+// victims lists what ranks lower on a machine, least loss per core first.
+func (c *Core) victims(r *room, q *queued) []held {
+	var out []held
+	loss := map[int]float64{}
+	for _, h := range r.used {
+		if h.order > q.order {
+			out = append(out, h)
+		}
+	}
+	for i := range out {
+		loss[i] = c.lost(r, out[i]) / max(float64(out[i].n)*out[i].desc.Cores, eps)
+	}
+	idx := make([]int, len(out))
+	for i := range idx {
+		idx[i] = i
+	}
+	sort.SliceStable(idx, func(i, k int) bool { return loss[idx[i]] < loss[idx[k]] })
+	sorted := make([]held, 0, len(out))
+	for _, i := range idx {
+		sorted = append(sorted, out[i])
+	}
+	return sorted
+}
+
 // preempt stops a job's tasks on an owned machine for one of higher rank.
 func (c *Core) preempt(r *room, h held, for_ *queued) {
 	if !c.mine(r.rec) || c.now.Wall-for_.rec.Sent < 500 {
