--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -265,7 +265,8 @@
 // whose renter died before it wrote them down. They are adopted, to be used or
 // returned.
 func (c *Core) strangers(b *batch) {
-	for id, l := range c.listed {
+	for _, id := range sorted(c.listed) {
+		l := c.listed[id]
 		if c.mir.Machines[id] != nil || l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.hasRoom(1) || b.machines[id] != nil {
 			continue
 		}
@@ -292,7 +293,8 @@
 
 // writeCloud writes what rentals and releases need to be on record.
 func (c *Core) writeCloud(b *batch) {
-	for name, h := range c.hires {
+	for _, name := range sorted(c.hires) {
+		h := c.hires[name]
 		if h.granted == nil {
 			continue
 		}
@@ -315,7 +317,8 @@
 			delete(c.hires, name)
 		}
 	}
-	for id, e := range c.mir.Machines {
+	for _, id := range sorted(c.mir.Machines) {
+		e := c.mir.Machines[id]
 		if m := c.machines[id]; m != nil && m.leave != "" && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) {
 			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
 				continue
@@ -331,7 +334,8 @@
 // coming, can take.
 func (c *Core) rent() {
 	now := c.now.Steady
-	for _, h := range c.hires {
+	for _, name := range sorted(c.hires) {
+		h := c.hires[name]
 		if h.granted == nil && !h.out && now >= h.tryAt {
 			h.out = true
 			c.emit(SendHire{h.req})
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -106,23 +106,25 @@
 
 func (b *batch) multi() protocol.Multi {
 	var m protocol.Multi
-	for k, s := range b.when {
-		m.When = append(m.When, protocol.When{Key: k, Stamp: s})
+	for _, k := range sorted(b.when) {
+		m.When = append(m.When, protocol.When{Key: k, Stamp: b.when[k]})
 	}
 	for _, k := range b.order {
 		if b.deletes[k] {
 			m.Then = append(m.Then, protocol.Then{Delete: k})
 		}
 	}
-	for id, r := range b.jobs {
+	for _, id := range sorted(b.jobs) {
+		r := b.jobs[id]
 		m.Then = append(m.Then, protocol.Then{Put: bk.JobKey(id), Data: bk.JSON(r)})
 	}
-	for id, r := range b.machines {
+	for _, id := range sorted(b.machines) {
+		r := b.machines[id]
 		if k := bk.MachineKey(id); !b.deletes[k] {
 			m.Then = append(m.Then, protocol.Then{Put: k, Data: bk.JSON(r)})
 		}
 	}
-	for t := range b.teams {
+	for _, t := range sorted(b.teams) {
 		m.Then = append(m.Then, protocol.Then{Put: bk.TeamKey(t), Data: bk.JSON(bk.TeamRecord{By: b.c.run, N: b.c.txID})})
 	}
 	return m
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -1,11 +1,14 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -118,6 +121,10 @@
 	return c
 }
 
+// sorted lists a map's keys in order: what a step does depends on its inputs
+// only, never on the order in which a map happens to be walked.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) log(l slog.Level, msg string, args ...any) { c.emit(Log{l, msg, args}) }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -72,6 +72,7 @@
 	brokenAt  protocol.Instant
 	withdrawn protocol.Instant
 	seenTry   protocol.Attempt
+	building  protocol.Attempt // of a gang whose assignment takes several transactions
 }
 
 func (c *Core) mstate(id protocol.MachineID) *mstate {
@@ -253,7 +254,8 @@
 }
 
 func (c *Core) settleBeats() {
-	for id, m := range c.machines {
+	for _, id := range sorted(c.machines) {
+		m := c.machines[id]
 		if m.held == 0 {
 			continue
 		}
@@ -434,7 +436,8 @@
 // writeTakeovers writes the ownership of machines that report here, and of
 // those whose owner has been dead for a while and that fall to this node.
 func (c *Core) writeTakeovers(b *batch) {
-	for id, m := range c.machines {
+	for _, id := range sorted(c.machines) {
+		m := c.machines[id]
 		if !m.adopt || m.held == 0 || !b.hasRoom(1) {
 			continue
 		}
@@ -448,7 +451,8 @@
 			c.takeOver(b, id, m.rep)
 		}
 	}
-	for id, e := range c.mir.Machines {
+	for _, id := range sorted(c.mir.Machines) {
+		e := c.mir.Machines[id]
 		at, dead := c.deadAt[e.Rec.Owner]
 		if !dead || b.machines[id] != nil || c.since(at) < 1500*time.Millisecond || !b.hasRoom(1) {
 			continue
@@ -475,7 +479,8 @@
 // writeMachines brings the records of owned machines in line with what their
 // workers report: one write per machine, whatever ended there.
 func (c *Core) writeMachines(b *batch) {
-	for id, e := range c.mir.Machines {
+	for _, id := range sorted(c.mir.Machines) {
+		e := c.mir.Machines[id]
 		if c.mine(&e.Rec) {
 			c.reconcile(b, id, e)
 		}
@@ -588,6 +593,9 @@
 		if j != nil && !j.Stage.Final() && j.Desc.Gang() && c.gangBroken(t.Job, try) {
 			gone = true
 		}
+		if m.barred[t] == try {
+			gone = true // taken back already; that write was refused, or a later one assigned it anew
+		}
 		if rec.Drain && m.firstSeen[t] == 0 && (m.recallAt != 0 || m.faulty) {
 			gone = true
 		}
@@ -682,7 +690,8 @@
 	}
 	// If nearly all fall silent, it is this node that is cut off.
 	cutOff := quiet > 3 && quiet*3 > total*2
-	for id, e := range c.mir.Machines {
+	for _, id := range sorted(c.mir.Machines) {
+		e := c.mir.Machines[id]
 		if !c.mine(&e.Rec) {
 			if m := c.machines[id]; m != nil && m.held == 0 {
 				m.ownedRun = ""
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -109,7 +109,7 @@
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
 	var out []*room
-	for id := range c.mir.Machines {
+	for _, id := range sorted(c.mir.Machines) {
 		rec := b.viewMachine(id)
 		fl := c.flavor(rec.Build)
 		if fl == nil || b.deletes[bk.MachineKey(id)] {
@@ -601,6 +601,7 @@
 	}
 	open := c.openTasks(b, q, left)
 	try := c.jstate(q.id).next
+	b.marks = append(b.marks, func() { c.jstate(q.id).building = try })
 	for _, s := range best {
 		if c.writable(b, s.r, d) {
 			rec := b.machine(s.r.id)
@@ -618,10 +619,13 @@
 // finishGang writes what is missing of a gang that did not fit one transaction.
 func (c *Core) finishGang(b *batch, q *queued, rooms []*room) {
 	left := q.rec.Desc.Pieces - q.done - q.placed
+	j := c.jstate(q.id)
+	if left <= 0 {
+		j.building = 0
+	}
 	if left <= 0 || !c.ours(b, q) || q.rec.Halt > 0 {
 		return
 	}
-	j := c.jstate(q.id)
 	var try protocol.Attempt
 	for id := range c.mir.Machines {
 		rec := b.viewMachine(id)
@@ -631,8 +635,9 @@
 			}
 		}
 	}
-	// Only an attempt that this run began just now; any other has lost a task.
-	if try+1 != j.next || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
+	// Only an attempt that is still being written. One that has lost a task is
+	// not mended: its other tasks end, and the gang starts anew as a whole.
+	if try == 0 || try != j.building || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
 		return
 	}
 	for _, s := range c.gangShares(q, rooms, q.onlyZone(), left, nil) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -213,7 +213,7 @@
 
 // writeUsers puts new and withdrawn jobs into the transaction.
 func (c *Core) writeUsers(b *batch) {
-	for id := range c.aborts {
+	for _, id := range sorted(c.aborts) {
 		e := c.mir.Jobs[id]
 		if e == nil || e.Rec.Stage.Final() {
 			delete(c.aborts, id)
@@ -224,7 +224,8 @@
 			r.Stage = protocol.Withdrawn
 		}
 	}
-	for id, s := range c.submits {
+	for _, id := range sorted(c.submits) {
+		s := c.submits[id]
 		if c.mir.Jobs[id] != nil || !b.hasRoom(1) {
 			continue
 		}
@@ -236,7 +237,8 @@
 
 // settle answers whoever can be answered now.
 func (c *Core) settle() {
-	for id, s := range c.submits {
+	for _, id := range sorted(c.submits) {
+		s := c.submits[id]
 		e := c.mir.Jobs[id]
 		if e == nil {
 			continue
@@ -303,7 +305,8 @@
 // tickUsers gives up on requests whose user would not wait any longer.
 func (c *Core) tickUsers() {
 	down := c.stateDown()
-	for id, s := range c.submits {
+	for _, id := range sorted(c.submits) {
+		s := c.submits[id]
 		if down || c.since(s.at) > c.cfg.UserWait {
 			delete(c.submits, id)
 			for _, r := range s.reqs {
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,146 @@
+// Package standin plays the outside systems in tests: state service, cloud,
+// workers and users, by their protocol, in simulated time; and it checks the
+// Rules of PROTOCOL from outside the controllers.
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"tillerarch/internal/protocol"
+)
+
+type item struct {
+	data  json.RawMessage
+	stamp protocol.Stamp
+	hold  protocol.HoldID
+}
+
+// State is the state service.
+type State struct {
+	Down bool // outage: everything is answered with 503
+
+	rev    protocol.Rev
+	items  map[string]item
+	holds  map[protocol.HoldID]time.Duration // when they end
+	ttl    map[protocol.HoldID]time.Duration
+	nextID protocol.HoldID
+	log    []protocol.News
+	kept   int // changes that /follow still has
+}
+
+// NewState makes an empty store that keeps the given number of changes.
+func NewState(kept int) *State {
+	return &State{items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
+}
+
+func (s *State) stamp(key string) protocol.Stamp { return s.items[key].stamp }
+
+// Expire ends the leases that are over and removes their keys.
+func (s *State) Expire(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(s.holds)) {
+		end := s.holds[id]
+		if now <= end {
+			continue
+		}
+		if s.Down {
+			s.holds[id] = now + s.ttl[id] // they have their full time after an outage
+			continue
+		}
+		delete(s.holds, id)
+		for _, k := range slices.Sorted(maps.Keys(s.items)) {
+			if s.items[k].hold == id {
+				s.rev++
+				delete(s.items, k)
+				s.note(protocol.News{Delete: k, Stamp: protocol.Stamp(s.rev)})
+			}
+		}
+	}
+}
+
+func (s *State) note(n protocol.News) {
+	s.log = append(s.log, n)
+	if len(s.log) > s.kept {
+		s.log = s.log[len(s.log)-s.kept:]
+	}
+}
+
+// Multi carries out a transaction: status and answer.
+func (s *State) Multi(m protocol.Multi) (int, protocol.MultiAnswer) {
+	if s.Down {
+		return 503, protocol.MultiAnswer{}
+	}
+	for _, t := range m.Then {
+		if t.Tenancy != 0 {
+			if _, ok := s.holds[t.Tenancy]; !ok {
+				return 400, protocol.MultiAnswer{Error: "no such lease"}
+			}
+		}
+	}
+	var failed []string
+	for _, w := range m.When {
+		if s.stamp(w.Key) != w.Stamp {
+			failed = append(failed, w.Key)
+		}
+	}
+	if failed != nil {
+		return 409, protocol.MultiAnswer{Failed: failed, Rev: s.rev}
+	}
+	s.rev++
+	for _, t := range m.Then {
+		if t.Put != "" {
+			s.items[t.Put] = item{t.Data, protocol.Stamp(s.rev), t.Tenancy}
+			s.note(protocol.News{Put: t.Put, Data: t.Data, Stamp: protocol.Stamp(s.rev)})
+		} else {
+			delete(s.items, t.Delete)
+			s.note(protocol.News{Delete: t.Delete, Stamp: protocol.Stamp(s.rev)})
+		}
+	}
+	return 200, protocol.MultiAnswer{Rev: s.rev}
+}
+
+// Grant gives a lease.
+func (s *State) Grant(now, ttl time.Duration) protocol.HoldID {
+	s.nextID++
+	s.holds[s.nextID], s.ttl[s.nextID] = now+ttl, ttl
+	return s.nextID
+}
+
+// Extend renews a lease if it still lives.
+func (s *State) Extend(now time.Duration, id protocol.HoldID) bool {
+	if _, ok := s.holds[id]; !ok {
+		return false
+	}
+	s.holds[id] = now + s.ttl[id]
+	return true
+}
+
+// Items lists all keys with the prefix.
+func (s *State) Items(prefix string) []protocol.Item {
+	var out []protocol.Item
+	for k, i := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, protocol.Item{Key: k, Data: i.data, Stamp: i.stamp})
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Key < out[k].Key })
+	return out
+}
+
+// Follow gives the changes behind a revision; old tells that it lacks some.
+func (s *State) Follow(prefix string, from protocol.Rev) (f protocol.Followed, old bool) {
+	if len(s.log) == s.kept && protocol.Rev(s.log[0].Stamp) > from+1 {
+		return f, true
+	}
+	f.Rev = s.rev
+	for _, n := range s.log {
+		if protocol.Rev(n.Stamp) > from && (strings.HasPrefix(n.Put, prefix) || strings.HasPrefix(n.Delete, prefix)) {
+			f.News = append(f.News, n)
+		}
+	}
+	return f, false
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,266 @@
+package standin
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"tillerarch/internal/protocol"
+)
+
+type task struct {
+	try   protocol.Attempt
+	stage protocol.TaskStage
+	cause protocol.Cause
+	saved bool
+	next  time.Duration // when its stage ends
+}
+
+// Worker is a machine with its worker.
+type Worker struct {
+	w       *World
+	ID      protocol.MachineID
+	Build   protocol.Sku
+	Zone    protocol.Zone
+	Loaner  bool
+	Gone    bool
+	Cut     bool // reaches no controller
+	shift   protocol.Shift
+	tally   protocol.Tally
+	baton   protocol.Baton
+	tasks   map[protocol.Task]*task
+	leased  time.Duration // when the last answered report was sent
+	node    int
+	images  map[string]bool
+	seq     int // of the report that waits for its answer
+	waiting bool
+	sentAt  time.Duration
+	dueAt   time.Duration
+	changed bool
+}
+
+func (m *Worker) body() []byte {
+	m.tally++
+	r := protocol.Report{Stall: m.ID, Addr: "10.1.0.1:1", Build: m.Build, Yard: m.Zone, Loaners: m.Loaner,
+		Shift: m.shift, Tally: m.tally, Baton: m.baton, Pieces: []protocol.TaskReport{}}
+	for _, t := range m.order() {
+		k := m.tasks[t]
+		r.Pieces = append(r.Pieces, protocol.TaskReport{Task: t, Try: k.try, Stage: k.stage, Cause: k.cause, Saved: k.saved})
+	}
+	return protocol.Encode(r)
+}
+
+func (m *Worker) order() []protocol.Task {
+	out := make([]protocol.Task, 0, len(m.tasks))
+	for t := range m.tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].String() < out[k].String() })
+	return out
+}
+
+func (m *Worker) set(t protocol.Task, k *task, s protocol.TaskStage) {
+	on := k.stage != protocol.Fetching && k.stage != protocol.Ended
+	k.stage = s
+	m.changed = true
+	now := s != protocol.Fetching && s != protocol.Ended
+	if now && !on {
+		m.w.Rules.Began(m.w.Now, t, m.ID, m.Build, m.Zone, m.Loaner)
+	}
+	if on && !now {
+		m.w.Rules.Left(t, k.cause == protocol.CauseDone)
+		if d := m.w.Jobs[t.Job]; d.Gang() && k.cause == protocol.CauseDone {
+			for p := range d.Pieces { // if one task of a gang is done, all are
+				m.w.Rules.job(t.Job).done[p] = true
+			}
+		}
+	}
+}
+
+func (m *Worker) end(t protocol.Task, k *task, cause protocol.Cause) {
+	k.cause = cause
+	m.set(t, k, protocol.Ended)
+}
+
+// kill ends and forgets all tasks.
+func (m *Worker) kill() {
+	for _, t := range m.order() {
+		k := m.tasks[t]
+		if k.stage != protocol.Ended {
+			m.end(t, k, "killed")
+		}
+	}
+	m.tasks = map[protocol.Task]*task{}
+}
+
+// step lets the machine's time pass.
+func (m *Worker) step() {
+	now := m.w.Now
+	if m.Gone {
+		return
+	}
+	if now-m.leased > m.w.Lease {
+		m.kill()
+		m.shift++
+		m.leased = now
+		m.waiting = false
+		m.changed = true
+	}
+	for _, t := range m.order() {
+		k := m.tasks[t]
+		d := m.w.Jobs[t.Job]
+		if k.stage == protocol.Ended || now < k.next {
+			continue
+		}
+		switch k.stage {
+		case protocol.Fetching:
+			m.images[d.Bundle] = true
+			if m.w.Rules.job(t.Job).done[t.Piece] {
+				m.end(t, k, protocol.CauseDone) // the result is kept
+			} else if d.Gang() {
+				k.next = now + m.w.GangWait
+				m.set(t, k, protocol.Gathering)
+			} else {
+				m.run(t, k, d)
+			}
+		case protocol.Gathering:
+			m.end(t, k, "alone")
+		case protocol.TaskRunning:
+			m.end(t, k, protocol.CauseDone)
+		case protocol.Flushing:
+			k.saved = true
+			m.end(t, k, "stopped")
+		}
+	}
+	if m.waiting && now-m.sentAt > 4*time.Second {
+		m.waiting = false
+		m.node++
+		m.dueAt = now + time.Second
+	}
+	if !m.waiting && (now >= m.dueAt || m.changed && now-m.sentAt >= 500*time.Millisecond) {
+		m.send()
+	}
+}
+
+func (m *Worker) run(t protocol.Task, k *task, d *protocol.Job) {
+	k.next = m.w.Now + time.Duration(d.ReckonS*(0.5+m.w.Rng.Float64())*float64(time.Second))
+	m.set(t, k, protocol.TaskRunning)
+}
+
+func (m *Worker) send() {
+	w := m.w
+	m.changed = false
+	m.waiting, m.sentAt = true, w.Now
+	m.dueAt = w.Now + time.Duration((0.75+w.Rng.Float64()/2)*float64(w.Report))
+	m.seq++
+	seq, sent, shift := m.seq, w.Now, m.shift
+	n := w.Nodes[m.node%len(w.Nodes)]
+	body := m.body()
+	w.toNode(n, m, body, func(status int, ans []byte) {
+		if m.Gone || !m.waiting || m.seq != seq || m.shift != shift {
+			return
+		}
+		m.waiting = false
+		m.answer(n, sent, status, ans)
+	})
+}
+
+func (m *Worker) answer(n *Node, sent time.Duration, status int, ans []byte) {
+	w := m.w
+	switch status {
+	case 200:
+		var o protocol.Orders
+		if json.Unmarshal(ans, &o) != nil || o.Baton == 0 || o.Baton < m.baton {
+			return
+		}
+		m.raise(o.Baton)
+		m.leased = max(m.leased, sent)
+		m.obey(o.Orders)
+	case 421:
+		var f protocol.Foreman
+		json.Unmarshal(ans, &f)
+		for i, o := range w.Nodes {
+			if o.Member == f.Foreman && o != n {
+				m.node = i
+				m.dueAt = w.Now + time.Duration(w.Rng.IntN(500))*time.Millisecond
+				return
+			}
+		}
+		fallthrough
+	default:
+		m.node++
+		m.dueAt = w.Now + time.Second
+	}
+}
+
+func (m *Worker) raise(b protocol.Baton) {
+	if b > m.baton {
+		m.baton = b
+		m.changed = true
+	}
+}
+
+// Do carries out a direct command.
+func (m *Worker) Do(o protocol.Orders) (int, []byte) {
+	if o.Baton < m.baton || o.Shift != m.shift {
+		return 409, m.body()
+	}
+	m.raise(o.Baton)
+	m.obey(o.Orders)
+	return 200, m.body()
+}
+
+func (m *Worker) obey(orders []protocol.Order) {
+	w := m.w
+	for _, o := range orders {
+		k := m.tasks[o.Task]
+		d := w.Jobs[o.Task.Job]
+		switch o.Verb {
+		case protocol.Start:
+			if k != nil && k.try == o.Try {
+				continue
+			}
+			if k != nil && k.stage != protocol.Ended {
+				continue // busy
+			}
+			m.changed = true
+			nk := &task{try: o.Try, stage: protocol.Fetching}
+			m.tasks[o.Task] = nk
+			switch used := m.used(o.Task); {
+			case d == nil:
+				nk.stage, nk.cause = protocol.Ended, protocol.CauseNoSuch
+			case used+d.Cores > w.Cores(m.Build)+1e-9:
+				nk.stage, nk.cause = protocol.Ended, protocol.CauseNoRoom
+			case !m.images[d.Bundle]:
+				nk.next = w.Now + time.Second
+			default:
+				nk.next = w.Now
+			}
+		case protocol.Stop:
+			if k == nil || k.try != o.Try || k.stage == protocol.Ended {
+				continue
+			}
+			if o.WindDownS != nil && d.Saves() && *o.WindDownS >= d.StowS && k.stage == protocol.TaskRunning {
+				k.next = w.Now + protocol.Seconds(d.StowS)
+				m.set(o.Task, k, protocol.Flushing)
+			} else if k.stage != protocol.Flushing || o.WindDownS != nil && *o.WindDownS == 0 {
+				m.end(o.Task, k, "stopped")
+			}
+		case protocol.Reap:
+			if k != nil && k.try == o.Try && k.stage == protocol.Ended {
+				delete(m.tasks, o.Task)
+				m.changed = true
+			}
+		}
+	}
+}
+
+func (m *Worker) used(but protocol.Task) float64 {
+	sum := 0.0
+	for t, k := range m.tasks {
+		if t != but && k.stage != protocol.Ended {
+			sum += m.w.Jobs[t.Job].Cores
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,532 @@
+package standin
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].seq < e[k].seq
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// Node is one controller.
+type Node struct {
+	w        *World
+	Member   protocol.Member
+	Core     *coordination.Core
+	Alive    bool
+	NoState  bool // cut from the state service alone
+	NoWorker bool // cut from the workers alone
+	life     int
+	started  time.Duration
+	drift    float64
+	reqs     map[coordination.ReqID]func(int, []byte)
+	nextReq  coordination.ReqID
+}
+
+// World is a whole deployment in simulated time.
+type World struct {
+	Now      time.Duration
+	Rng      *rand.Rand
+	State    *State
+	Rules    *Rules
+	Nodes    []*Node
+	Workers  map[protocol.MachineID]*Worker
+	Jobs     map[protocol.JobID]*protocol.Job
+	Flavors  []protocol.Flavor
+	Config   coordination.Config
+	Report   time.Duration
+	Lease    time.Duration
+	GangWait time.Duration
+	Drop     float64 // part of the messages that are lost or held up
+	Done     map[protocol.JobID]bool
+	Trace    func(string)
+
+	queue   events
+	seq     int
+	hires   map[string][]protocol.MachineID
+	nextID  int
+	NoCloud bool
+}
+
+var errLost = errors.New("no answer")
+
+// NewWorld makes a deployment with controllers in the given zones.
+func NewWorld(seed uint64, nodes int, flavors []protocol.Flavor, teams map[string]coordination.Team) *World {
+	w := &World{Rng: rand.New(rand.NewPCG(seed, 11)), State: NewState(500), Rules: NewRules(30 * time.Second),
+		Workers: map[protocol.MachineID]*Worker{}, Jobs: map[protocol.JobID]*protocol.Job{}, Flavors: flavors,
+		Report: 2 * time.Second, Lease: 14 * time.Second, GangWait: 20 * time.Second, hires: map[string][]protocol.MachineID{},
+		Done: map[protocol.JobID]bool{}}
+	for name, t := range teams {
+		w.Rules.Limits[name] = t.CoresMax
+	}
+	w.Config = coordination.Config{Teams: teams, Report: w.Report, Lease: w.Lease, GangWait: w.GangWait, GangPeer: 4 * time.Second,
+		Cancel: w.Rules.Cancel, WriteRPS: 60, TxnOps: 8, ValueBytes: 8192, ListLag: 4 * time.Second, FollowGap: 40 * time.Millisecond,
+		Tuning: coordination.DefaultTuning()}
+	for i := 0; i < nodes; i++ {
+		w.Config.Members = append(w.Config.Members, protocol.Member(fmt.Sprintf("stall-%d", i)))
+	}
+	for i := 0; i < nodes; i++ {
+		n := &Node{w: w, Member: w.Config.Members[i], drift: 1 + float64(i)*0.0002}
+		w.Nodes = append(w.Nodes, n)
+		n.Start()
+	}
+	w.Every(100*time.Millisecond, func() {
+		w.State.Expire(w.Now)
+		w.Rules.Watch(w.Now)
+	})
+	return w
+}
+
+// At plans something.
+func (w *World) At(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.Now + d, w.seq, f})
+}
+
+// Every repeats something.
+func (w *World) Every(d time.Duration, f func()) {
+	w.At(d, func() { f(); w.Every(d, f) })
+}
+
+// Run lets time pass.
+func (w *World) Run(d time.Duration) {
+	end := w.Now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = e.at
+		e.f()
+	}
+	w.Now = end
+}
+
+func (w *World) delay() time.Duration {
+	d := time.Duration(1+w.Rng.IntN(8)) * time.Millisecond
+	if w.Rng.Float64() < 0.02 {
+		d += time.Duration(w.Rng.IntN(300)) * time.Millisecond
+	}
+	return d
+}
+
+// Cores of a machine type.
+func (w *World) Cores(s protocol.Sku) float64 {
+	for _, f := range w.Flavors {
+		if f.Sku == s {
+			return f.Cores
+		}
+	}
+	return 0
+}
+
+// Start begins a new life of the controller.
+func (n *Node) Start() {
+	n.Alive = true
+	n.life++
+	n.started = n.w.Now
+	n.reqs = map[coordination.ReqID]func(int, []byte){}
+	cfg := n.w.Config
+	cfg.Member = n.Member
+	cfg.Seed = uint64(n.life)
+	n.Core = coordination.New(cfg, n.time())
+	n.tick(n.life)
+}
+
+func (n *Node) tick(life int) {
+	n.w.At(50*time.Millisecond, func() {
+		if n.Alive && n.life == life {
+			n.step(coordination.Tick{})
+			n.tick(life)
+		}
+	})
+}
+
+// Kill ends the controller with all it holds in memory.
+func (n *Node) Kill() { n.Alive = false }
+
+func (n *Node) time() coordination.Now {
+	return coordination.Now{Steady: protocol.Instant(float64(n.w.Now-n.started)*n.drift) + 1, Wall: protocol.Millis(1e12 + n.w.Now.Milliseconds())}
+}
+
+func (n *Node) step(in coordination.Input) {
+	for _, e := range n.Core.Step(n.time(), in) {
+		n.effect(e)
+	}
+}
+
+// call sends something to an outside system and brings the answer back. Either
+// way may be lost, or the request may be carried out late; the controller then
+// hears nothing until its time is up.
+func (n *Node) call(cut bool, wait time.Duration, do func() coordination.Input, lost coordination.Input) {
+	w, life := n.w, n.life
+	answered := false
+	back := func(in coordination.Input) {
+		if !answered && n.Alive && n.life == life {
+			answered = true
+			n.step(in)
+		}
+	}
+	w.At(wait, func() { back(lost) })
+	d := w.delay()
+	if cut || w.Rng.Float64() < w.Drop {
+		if w.Rng.IntN(2) == 0 {
+			return // never arrives
+		}
+		d = wait + time.Duration(w.Rng.IntN(8000))*time.Millisecond // held up, arrives late
+	}
+	w.At(d, func() {
+		in := do()
+		if in != nil && !cut && w.Rng.Float64() >= w.Drop {
+			w.At(w.delay(), func() { back(in) })
+		}
+	})
+}
+
+func (n *Node) effect(e coordination.Effect) {
+	w := n.w
+	const wait = 1500 * time.Millisecond
+	switch v := e.(type) {
+	case coordination.Reply:
+		f := n.reqs[v.Req]
+		delete(n.reqs, v.Req)
+		if f != nil {
+			f(v.Status, v.Body)
+		}
+	case coordination.Log:
+		if w.Trace != nil {
+			w.Trace(fmt.Sprintf("%8.3f %s %s %v", w.Now.Seconds(), n.Member, v.Msg, v.Args))
+		}
+	case coordination.SendHint:
+		for _, o := range w.Nodes {
+			if o != n {
+				life := o.life
+				w.At(w.delay(), func() {
+					if o.Alive && o.life == life {
+						o.step(coordination.HintInput{Hint: v.Hint})
+					}
+				})
+			}
+		}
+	case coordination.Commit:
+		n.call(n.NoState, wait, func() coordination.Input {
+			status, a := w.State.Multi(v.Multi)
+			o := map[int]bk.Outcome{200: bk.Applied, 409: bk.Conflict, 503: bk.Refused, 400: bk.NoLease}[status]
+			return coordination.CommitResult{ID: v.ID, Outcome: o, Answer: a}
+		}, coordination.CommitResult{ID: v.ID, Outcome: bk.Unknown, Err: errLost})
+	case coordination.Load:
+		n.call(n.NoState, wait, func() coordination.Input {
+			if w.State.Down {
+				return coordination.LoadResult{Err: errLost}
+			}
+			return coordination.LoadResult{Items: w.State.Items(bk.Prefix), From: w.State.rev, Until: w.State.rev}
+		}, coordination.LoadResult{Err: errLost})
+	case coordination.Follow:
+		w.follow(n, n.life, v.From, w.Now+8*time.Second)
+	case coordination.ReadRev:
+		n.call(n.NoState, wait, func() coordination.Input {
+			if w.State.Down {
+				return coordination.RevResult{Err: errLost}
+			}
+			return coordination.RevResult{Rev: w.State.rev}
+		}, coordination.RevResult{Err: errLost})
+	case coordination.Grant:
+		n.call(n.NoState, wait, func() coordination.Input {
+			if w.State.Down {
+				return coordination.GrantResult{Err: errLost}
+			}
+			return coordination.GrantResult{Hold: w.State.Grant(w.Now, v.TTL)}
+		}, coordination.GrantResult{Err: errLost})
+	case coordination.Extend:
+		n.call(n.NoState, wait, func() coordination.Input {
+			if w.State.Down {
+				return coordination.ExtendResult{Hold: v.Hold, Err: errLost}
+			}
+			if !w.State.Extend(w.Now, v.Hold) {
+				return coordination.ExtendResult{Hold: v.Hold, Err: bk.ErrGone}
+			}
+			return coordination.ExtendResult{Hold: v.Hold}
+		}, coordination.ExtendResult{Hold: v.Hold, Err: errLost})
+	case coordination.SendDo:
+		n.call(n.NoWorker, 2*time.Second, func() coordination.Input {
+			m := w.Workers[v.Machine]
+			if m == nil || m.Gone {
+				return nil
+			}
+			_, body := m.Do(v.Orders)
+			if m.Cut {
+				return nil
+			}
+			r, err := protocol.ParseReport(body)
+			return coordination.DoResult{Machine: v.Machine, Report: r, Err: err}
+		}, coordination.DoResult{Machine: v.Machine, Err: errLost})
+	default:
+		w.cloudCall(n, e)
+	}
+}
+
+func (w *World) follow(n *Node, life int, from protocol.Rev, until time.Duration) {
+	w.At(time.Duration(2+w.Rng.IntN(20))*time.Millisecond, func() {
+		if !n.Alive || n.life != life {
+			return
+		}
+		if n.NoState || w.State.Down { // open watches wait
+			if w.Now > until+2*time.Second {
+				n.step(coordination.FollowResult{From: from, Err: errLost})
+				return
+			}
+			w.follow(n, life, from, until)
+			return
+		}
+		f, old := w.State.Follow(bk.Prefix, from)
+		switch {
+		case old:
+			n.step(coordination.FollowResult{From: from, Err: bk.ErrTooOld})
+		case len(f.News) > 0 || w.Now > until:
+			n.step(coordination.FollowResult{From: from, News: &f})
+		default:
+			w.follow(n, life, from, until)
+		}
+	})
+}
+
+func (w *World) cloudCall(n *Node, e coordination.Effect) {
+	const wait = 10 * time.Second
+	switch v := e.(type) {
+	case coordination.AskFlavors:
+		n.call(w.NoCloud, wait, func() coordination.Input { return coordination.FlavorsResult{Flavors: w.Flavors} },
+			coordination.FlavorsResult{Err: errLost})
+	case coordination.SendHire:
+		n.call(w.NoCloud, wait, func() coordination.Input {
+			if _, ok := w.hires[v.Hire.Hire]; !ok {
+				w.hires[v.Hire.Hire] = nil
+				for i := 0; i < v.Hire.Count && len(w.Workers) < 400; i++ {
+					id := w.Machine(v.Hire.Build, v.Hire.Yard, v.Hire.Loaners, time.Duration(500+w.Rng.IntN(4000))*time.Millisecond)
+					w.hires[v.Hire.Hire] = append(w.hires[v.Hire.Hire], id)
+				}
+			}
+			return coordination.HireResult{Hire: v.Hire, Stalls: w.hires[v.Hire.Hire]}
+		}, coordination.HireResult{Hire: v.Hire, Err: errLost})
+	case coordination.SendRelease:
+		n.call(w.NoCloud, wait, func() coordination.Input {
+			for _, id := range v.Stalls {
+				w.Lose(id)
+			}
+			return coordination.ReleaseResult{Stalls: v.Stalls}
+		}, coordination.ReleaseResult{Stalls: v.Stalls, Err: errLost})
+	case coordination.AskList:
+		asked := n.time().Steady
+		n.call(w.NoCloud, wait, func() coordination.Input {
+			r := coordination.ListResult{Asked: asked}
+			for id, m := range w.Workers {
+				if !m.Gone {
+					r.Hosts = append(r.Hosts, protocol.Host{UID: id, Addr: "10.1.0.1:1", Build: m.Build, Yard: m.Zone, Loaners: m.Loaner, Stage: "running", AgeS: 60})
+				}
+			}
+			sort.Slice(r.Hosts, func(i, k int) bool { return r.Hosts[i].UID < r.Hosts[k].UID })
+			return r
+		}, coordination.ListResult{Err: errLost})
+	default:
+		panic(fmt.Sprintf("standin: effect %T", e))
+	}
+}
+
+// Machine brings a machine up after a while.
+func (w *World) Machine(s protocol.Sku, z protocol.Zone, loaner bool, boot time.Duration) protocol.MachineID {
+	w.nextID++
+	id := protocol.MachineID(fmt.Sprintf("m-%06d", w.nextID))
+	m := &Worker{w: w, ID: id, Build: s, Zone: z, Loaner: loaner, shift: 1, tasks: map[protocol.Task]*task{},
+		images: map[string]bool{}, node: w.Rng.IntN(len(w.Nodes)), leased: w.Now + boot}
+	w.Workers[id] = m
+	w.At(boot, func() {
+		m.dueAt = w.Now
+		m.loop()
+	})
+	return id
+}
+
+func (m *Worker) loop() {
+	if m.Gone {
+		return
+	}
+	m.step()
+	m.gather()
+	m.w.At(100*time.Millisecond, m.loop)
+}
+
+// gather starts a gang whose tasks are all here, and ends one that lost a task.
+func (m *Worker) gather() {
+	w := m.w
+	for _, t := range m.order() {
+		k := m.tasks[t]
+		d := w.Jobs[t.Job]
+		if d == nil || !d.Gang() || k.stage != protocol.Gathering && k.stage != protocol.TaskRunning {
+			continue
+		}
+		mates := w.mates(t.Job, k.try)
+		if k.stage == protocol.Gathering && len(mates) == d.Pieces {
+			all := true
+			for _, x := range mates {
+				all = all && x.k.stage == protocol.Gathering
+			}
+			if all {
+				end := w.Now + protocol.Seconds(d.ReckonS)
+				for _, x := range mates {
+					x.k.next = end
+					x.m.set(x.t, x.k, protocol.TaskRunning)
+				}
+			}
+		} else if k.stage == protocol.TaskRunning && len(mates) < d.Pieces {
+			m.end(t, k, "mates_gone")
+		}
+	}
+}
+
+type mate struct {
+	m *Worker
+	t protocol.Task
+	k *task
+}
+
+func (w *World) mates(id protocol.JobID, try protocol.Attempt) []mate {
+	var out []mate
+	for _, name := range slices.Sorted(maps.Keys(w.Workers)) {
+		m := w.Workers[name]
+		for _, t := range m.order() {
+			k := m.tasks[t]
+			if t.Job == id && k.try == try && (k.stage != protocol.Ended || k.cause == protocol.CauseDone) && !m.Gone {
+				out = append(out, mate{m, t, k})
+			}
+		}
+	}
+	return out
+}
+
+// Lose takes a machine away with all that is on it.
+func (w *World) Lose(id protocol.MachineID) {
+	if m := w.Workers[id]; m != nil && !m.Gone {
+		m.kill()
+		m.Gone = true
+	}
+}
+
+// toNode brings a worker's report to a controller and the answer back.
+func (w *World) toNode(n *Node, m *Worker, body []byte, back func(int, []byte)) {
+	d := w.delay()
+	if m.Cut || n.NoWorker || w.Rng.Float64() < w.Drop {
+		if w.Rng.IntN(2) == 0 {
+			return
+		}
+		d = 5*time.Second + time.Duration(w.Rng.IntN(20000))*time.Millisecond // held up, arrives late
+	}
+	w.At(d, func() {
+		if !n.Alive {
+			w.At(w.delay(), func() { back(0, nil) })
+			return
+		}
+		n.request(func(status int, b []byte) {
+			if m.Cut || n.NoWorker || w.Rng.Float64() < w.Drop {
+				return
+			}
+			w.At(w.delay(), func() { back(status, b) })
+		}, func(id coordination.ReqID) coordination.Input { return coordination.BeatInput{Req: id, Body: body} })
+	})
+}
+
+func (n *Node) request(back func(int, []byte), in func(coordination.ReqID) coordination.Input) {
+	n.nextReq++
+	n.reqs[n.nextReq] = back
+	n.step(in(n.nextReq))
+}
+
+// User sends a user's request to a node; tell gets the answer unless it is lost.
+func (w *World) User(verb protocol.Verb, id protocol.JobID, body []byte, tell func(int, protocol.Stage)) {
+	n := w.Nodes[w.Rng.IntN(len(w.Nodes))]
+	over := false
+	once := tell
+	tell = func(status int, s protocol.Stage) {
+		if !over {
+			over = true
+			once(status, s)
+		}
+	}
+	w.At(5*time.Second, func() { tell(0, "") })
+	w.At(w.delay(), func() {
+		if !n.Alive {
+			tell(0, "")
+			return
+		}
+		n.request(func(status int, b []byte) {
+			var a protocol.JobAnswer
+			if status < 300 {
+				json.Unmarshal(b, &a)
+			}
+			w.Rules.Told(w.Now, verb, id, status, a.Stage)
+			tell(status, a.Stage)
+		}, func(r coordination.ReqID) coordination.Input {
+			return coordination.UserInput{Req: r, Verb: verb, Job: id, Body: body}
+		})
+	})
+}
+
+// Submit sends a job until it is accepted or refused for good, then polls it.
+func (w *World) Submit(d *protocol.Job) {
+	w.Jobs[d.UID] = d
+	w.Rules.Submitted(d)
+	body := protocol.Encode(d)
+	var try, poll func()
+	poll = func() {
+		w.User(protocol.Query, d.UID, nil, func(status int, s protocol.Stage) {
+			if status == 200 && s.Final() {
+				w.Done[d.UID] = true
+				return
+			}
+			w.At(3*time.Second, poll)
+		})
+	}
+	try = func() {
+		w.User(protocol.Submit, d.UID, body, func(status int, _ protocol.Stage) {
+			if status >= 200 && status < 300 {
+				w.At(time.Second, poll)
+			} else if status != 422 && status != 400 {
+				w.At(time.Second, try)
+			}
+		})
+	}
+	try()
+}
+
+// Abort asks to cancel a job until that is answered.
+func (w *World) Abort(id protocol.JobID) {
+	w.Rules.CancelWanted(id)
+	w.User(protocol.Abort, id, nil, func(status int, _ protocol.Stage) {
+		if status != 200 {
+			w.At(time.Second, func() { w.Abort(id) })
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+)
+
+var testFlavors = []protocol.Flavor{
+	{Sku: "small", Cores: 4, MemGB: 16, LocalGB: 20, FetchGBPerS: 1, Rate: 0.2, LowPrice: 0.05, ReadyS: 3, Yards: []protocol.Zone{"a", "b"}},
+	{Sku: "large", Cores: 32, MemGB: 64, LocalGB: 20, FetchGBPerS: 1, Rate: 1.6, LowPrice: 0.4, ReadyS: 3, Yards: []protocol.Zone{"a", "b"}},
+}
+
+func testTeams() map[string]coordination.Team {
+	return map[string]coordination.Team{"core": {}, "tight": {CoresMax: 10}}
+}
+
+// submitMix sends jobs of every kind over the first minute.
+func submitMix(w *World, n int) []protocol.JobID {
+	var ids []protocol.JobID
+	for i := 0; i < n; i++ {
+		d := &protocol.Job{UID: protocol.JobID(fmt.Sprintf("j-%06d", i)), Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "standard",
+			Pieces: 1 + w.Rng.IntN(12), Cores: 2, MemGB: 1, Bundle: fmt.Sprintf("img-%d", i%3), PullGB: 1, Loaners: i%2 == 0, ReckonS: 6}
+		switch i % 6 {
+		case 1:
+			d.Shape, d.Rank, d.Pieces, d.Cores = protocol.Group, "high", 1, 30
+		case 2:
+			d.Shape, d.Rank, d.Pieces, d.Together = protocol.Group, "high", 2+w.Rng.IntN(4), true
+			d.BookmarkS, d.StowS = 5, 1
+		case 3:
+			d.Desk = "tight"
+		case 4:
+			d.Scatter = true
+			d.Yard = ""
+		case 5:
+			d.Rank, d.Yard, d.BookmarkS, d.StowS = "low", "b", 3, 1
+		}
+		ids = append(ids, d.UID)
+		w.At(time.Duration(w.Rng.IntN(60000))*time.Millisecond, func() { w.Submit(d) })
+		if i%9 == 4 {
+			w.At(time.Duration(20000+w.Rng.IntN(50000))*time.Millisecond, func() {
+				if w.Jobs[d.UID] != nil {
+					w.Abort(d.UID)
+				}
+			})
+		}
+	}
+	return ids
+}
+
+// seeds is how many days of each kind are played; SEEDS asks for more.
+func seeds() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("SEEDS"), 10, 16); err == nil {
+		return n
+	}
+	return 3
+}
+
+// Days of trouble, each with several seeds. Every rule must hold on each, and
+// once the trouble is over every job must come to its end.
+func TestDays(t *testing.T) {
+	s := func(n int) time.Duration { return time.Duration(n) * time.Second }
+	for _, day := range []struct {
+		name    string
+		drop    float64
+		trouble func(w *World)
+	}{
+		{"quiet", 0, func(w *World) {}},
+		{"lossy network", 0.04, func(w *World) {}},
+		{"a controller crashes and is back at once", 0, func(w *World) {
+			for i := 1; i < 8; i++ {
+				n := w.Nodes[i%3]
+				w.At(s(10*i), func() { n.Kill() })
+				w.At(s(10*i)+200*time.Millisecond, n.Start)
+			}
+		}},
+		{"all controllers crash", 0, func(w *World) {
+			for _, n := range w.Nodes {
+				w.At(s(35), n.Kill)
+				w.At(s(40), n.Start)
+			}
+		}},
+		{"controllers are restarted in turn in a lossy network", 0.03, func(w *World) {
+			for i, n := range w.Nodes {
+				w.At(s(25+12*i), n.Kill)
+				w.At(s(30+12*i), n.Start)
+			}
+		}},
+		{"a controller is cut from the state service alone", 0, func(w *World) {
+			w.At(s(25), func() { w.Nodes[0].NoState = true })
+			w.At(s(65), func() { w.Nodes[0].NoState = false })
+		}},
+		{"a controller is cut from the workers alone", 0, func(w *World) {
+			w.At(s(25), func() { w.Nodes[1].NoWorker = true })
+			w.At(s(65), func() { w.Nodes[1].NoWorker = false })
+		}},
+		{"the state service is down while controllers crash", 0.01, func(w *World) {
+			w.At(s(30), func() { w.State.Down = true })
+			w.At(s(33), w.Nodes[2].Kill)
+			w.At(s(38), w.Nodes[2].Start)
+			w.At(s(50), func() { w.State.Down = false })
+		}},
+		{"machines die, others are cut off", 0.01, func(w *World) {
+			for i := 0; i < 6; i++ {
+				id := protocol.MachineID(fmt.Sprintf("m-%06d", 1+2*i))
+				w.At(s(20+4*i), func() { w.Lose(id) })
+				cut := protocol.MachineID(fmt.Sprintf("m-%06d", 2+2*i))
+				w.At(s(20+5*i), func() {
+					if m := w.Workers[cut]; m != nil {
+						m.Cut = true
+					}
+				})
+				w.At(s(20+5*i+6+6*i), func() {
+					if m := w.Workers[cut]; m != nil {
+						m.Cut = false
+					}
+				})
+			}
+		}},
+		{"everything at once", 0.03, func(w *World) {
+			for i := 0; i < 5; i++ {
+				n := w.Nodes[i%3]
+				w.At(s(15+13*i), n.Kill)
+				w.At(s(15+13*i)+time.Duration(w.Rng.IntN(6000))*time.Millisecond, n.Start)
+				w.At(s(20+11*i), func() { w.Nodes[(i+1)%3].NoState = true })
+				w.At(s(30+11*i), func() { w.Nodes[(i+1)%3].NoState = false })
+				id := protocol.MachineID(fmt.Sprintf("m-%06d", 1+3*i))
+				w.At(s(22+6*i), func() { w.Lose(id) })
+			}
+			w.At(s(55), func() { w.State.Down = true })
+			w.At(s(63), func() { w.State.Down = false })
+			w.At(s(40), func() { w.NoCloud = true })
+			w.At(s(50), func() { w.NoCloud = false })
+		}},
+	} {
+		t.Run(day.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= seeds(); seed++ {
+				w := NewWorld(seed, 3, testFlavors, testTeams())
+				w.Rules.Limits["tight"] = 10
+				if os.Getenv("TRACE") != "" {
+					w.Trace = func(l string) { t.Log(l) }
+				}
+				for i := 0; i < 8; i++ {
+					w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
+				}
+				w.Drop = day.drop
+				ids := submitMix(w, 30)
+				day.trouble(w)
+				w.Run(s(110))
+				w.Drop = 0
+				w.Run(s(150))
+				w.Rules.End()
+				if len(w.Rules.Broken) > 0 {
+					t.Errorf("seed %d: %d rules broken:\n%s", seed, len(w.Rules.Broken), strings.Join(w.Rules.Broken[:min(5, len(w.Rules.Broken))], "\n"))
+				}
+				left := 0
+				for _, id := range ids {
+					if !w.Done[id] {
+						left++
+						if left < 4 {
+							t.Errorf("seed %d: %s has not come to its end", seed, id)
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// Each check of Rules must be able to fail.
+func TestRulesCanBreak(t *testing.T) {
+	d := &protocol.Job{UID: "j-1", Desk: "x", Pieces: 2, Cores: 2, Shape: protocol.Batch, Builds: []protocol.Sku{"small"}}
+	p0, p1 := protocol.Task{Job: "j-1"}, protocol.Task{Job: "j-1", Piece: 1}
+	begin := func(r *Rules, now time.Duration, p protocol.Task, m protocol.MachineID, z protocol.Zone) {
+		r.Began(now, p, m, "small", z, false)
+	}
+	for _, c := range []struct {
+		rule string
+		do   func(r *Rules)
+	}{
+		{"ran_twice", func(r *Rules) { begin(r, 0, p0, "m-1", "a"); begin(r, 1, p0, "m-2", "a") }},
+		{"quota", func(r *Rules) { r.Limits["x"] = 3; begin(r, 0, p0, "m-1", "a"); begin(r, 0, p1, "m-2", "a") }},
+		{"wrong_place", func(r *Rules) { r.Began(0, p0, "m-1", "large", "a", false) }},
+		{"wrong_place", func(r *Rules) { r.Began(0, p0, "m-1", "small", "a", true) }},
+		{"wrong_place", func(r *Rules) { d.Together = true; begin(r, 0, p0, "m-1", "a"); begin(r, 0, p1, "m-2", "b") }},
+		{"wrong_place", func(r *Rules) { d.Scatter = true; begin(r, 0, p0, "m-1", "a"); begin(r, 0, p1, "m-2", "a") }},
+		{"ran_cancelled", func(r *Rules) {
+			begin(r, 0, p0, "m-1", "a")
+			r.CancelWanted("j-1")
+			r.Told(0, protocol.Abort, "j-1", 200, protocol.Withdrawn)
+			r.Watch(31 * time.Second)
+		}},
+		{"ran_cancelled", func(r *Rules) {
+			r.CancelWanted("j-1")
+			r.Told(0, protocol.Abort, "j-1", 200, protocol.Withdrawn)
+			begin(r, 31*time.Second, p0, "m-1", "a")
+		}},
+		{"forgotten", func(r *Rules) {
+			r.Told(0, protocol.Submit, "j-1", 201, protocol.Queued)
+			r.Told(0, protocol.Query, "j-1", 404, "")
+		}},
+		{"forgotten", func(r *Rules) {
+			r.Told(0, protocol.Submit, "j-1", 201, protocol.Queued)
+			r.Told(0, protocol.Submit, "j-1", 422, "")
+		}},
+		{"invented", func(r *Rules) { r.Told(0, protocol.Query, "j-2", 200, protocol.Queued) }},
+		{"not_done", func(r *Rules) { r.Told(0, protocol.Query, "j-1", 200, protocol.Done) }},
+		{"went_back", func(r *Rules) {
+			r.CancelWanted("j-1")
+			r.Told(0, protocol.Abort, "j-1", 200, protocol.Withdrawn)
+			r.Told(0, protocol.Query, "j-1", 200, protocol.Running)
+		}},
+		{"went_back", func(r *Rules) { r.Told(0, protocol.Query, "j-1", 200, protocol.Withdrawn) }},
+		{"nothing_ran", func(r *Rules) { r.End() }},
+	} {
+		d.Together, d.Scatter = false, false
+		r := NewRules(30 * time.Second)
+		r.Submitted(d)
+		c.do(r)
+		if len(r.Broken) == 0 || !strings.HasPrefix(r.Broken[0], c.rule+":") {
+			t.Errorf("%s was not seen: %v", c.rule, r.Broken)
+		}
+	}
+}
