--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -181,7 +181,7 @@
 		return err
 	}
 	dur := map[string]*time.Duration{
-		"hold.ttl": &t.HoldTTL, "flush.gap": &t.FlushGap, "beat.hold": &t.BeatHold, "user.wait": &t.UserWait,
+		"hold.ttl": &t.HoldTTL, "flush.gap": &t.FlushGap, "beat.hold": &t.BeatHold, "idle.hold": &t.IdleHold, "user.wait": &t.UserWait,
 		"paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery,
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -193,6 +193,7 @@
 	HoldTTL      time.Duration // lease of a process run
 	FlushGap     time.Duration // least time between transactions that can wait
 	BeatHold     time.Duration // a report with news waits this long for the write
+	IdleHold     time.Duration // a report of a machine with nothing to do waits this long for something
 	WriteShare   float64       // part of the write budget that one controller uses
 	UserWait     time.Duration // a request gets its final answer by then
 	IdleFactor   float64       // of the time it takes to have an idle machine's like again
@@ -215,7 +216,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		HoldTTL: 6 * time.Second, FlushGap: 100 * time.Millisecond, BeatHold: 700 * time.Millisecond,
-		WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
+		IdleHold: 2500 * time.Millisecond, WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
 		IdleFactor: 1.4, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -232,10 +232,13 @@
 // holdBeat tells whether the answer should wait a moment for a write, so that
 // it can carry the starts that take the place of what has ended.
 func (c *Core) holdBeat(e *bk.Entry[bk.MachineRecord], m *mstate) bool {
-	if c.stateDown() || !c.registered() || c.since(m.heldAt) >= c.cfg.BeatHold {
+	if c.stateDown() || !c.registered() {
 		return false
 	}
 	r := m.rep
+	if c.since(m.heldAt) >= c.cfg.BeatHold {
+		return c.holdIdle(e, m)
+	}
 	if r.Shift != e.Rec.Shift {
 		return r.Baton == e.Rec.Baton || e.Rec.Shift == 0
 	}
@@ -250,7 +253,17 @@
 			}
 		}
 	}
-	return false
+	return c.holdIdle(e, m)
+}
+
+// holdIdle tells whether the answer to a machine with nothing to do waits for
+// something to do: a start that is written meanwhile goes out at once instead
+// of with the next report. The worker waits longer than that for an answer, and
+// nothing can happen on the machine that it would have to report.
+func (c *Core) holdIdle(e *bk.Entry[bk.MachineRecord], m *mstate) bool {
+	r, rec := m.rep, &e.Rec
+	return c.since(m.heldAt) < c.cfg.IdleHold && c.fresh() && len(r.Pieces) == 0 && len(rec.Assigned) == 0 &&
+		r.Baton == rec.Baton && r.Shift == rec.Shift && r.RecallS == nil && !rec.Releasing
 }
 
 func (c *Core) settleBeats() {
