--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -128,7 +128,7 @@
 // durable, so that nobody places anything there meanwhile.
 func (c *Core) giveBack(b *batch, id protocol.MachineID, why string) {
 	b.machine(id).Releasing = true
-	c.log(slog.LevelInfo, "machine goes back", "machine", string(id), "why", why)
+	b.log(slog.LevelInfo, "machine goes back", "machine", string(id), "why", why)
 }
 
 // tickRelease decides whether an owned machine goes back, and why.
@@ -276,7 +276,7 @@
 		b.open(bk.MachineKey(id))
 		b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: 1, Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
 			Loaner: l.host.Loaners, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}
-		c.log(slog.LevelInfo, "unexpected machine adopted from the list", "machine", string(id))
+		b.log(slog.LevelInfo, "unexpected machine adopted from the list", "machine", string(id))
 	}
 }
 
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -21,6 +21,7 @@
 	teams    map[string]bool
 	deletes  map[string]bool
 	marks    []func() // what to remember once it is sent
+	logs     []Effect // lines for the operator once it is applied
 }
 
 func (c *Core) newBatch(room int) *batch {
@@ -102,6 +103,12 @@
 	return nil
 }
 
+// log notes a decision; the operator reads it once the decision is on record.
+// A transaction that is refused is built again, with the same lines.
+func (b *batch) log(l slog.Level, msg string, args ...any) {
+	b.logs = append(b.logs, Log{l, msg, args})
+}
+
 func (b *batch) empty() bool { return len(b.order) == 0 && len(b.deletes) == 0 }
 
 func (b *batch) multi() protocol.Multi {
@@ -188,10 +195,7 @@
 	for _, f := range b.marks {
 		f()
 	}
-	t := &txn{multi: m}
-	for id := range b.jobs {
-		t.jobs = append(t.jobs, id)
-	}
+	t := &txn{multi: m, logs: b.logs}
 	c.send(t)
 }
 
@@ -240,6 +244,7 @@
 	}
 	switch v.Outcome {
 	case bk.Applied:
+		c.out = append(c.out, t.logs...)
 		stamp := protocol.Stamp(v.Answer.Rev)
 		for _, th := range t.multi.Then {
 			if th.Put != "" {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -102,7 +102,7 @@
 	multi protocol.Multi
 	fence bool
 	reg   bool // registers this run
-	jobs  []protocol.JobID
+	logs  []Effect
 }
 
 // New makes the core of a controller that knows nothing yet.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -459,7 +459,7 @@
 			b.open(bk.MachineKey(id))
 			b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: m.rep.Baton + 1, Shift: m.rep.Shift, Addr: m.rep.Addr,
 				Build: m.rep.Build, Yard: m.rep.Yard, Loaner: m.rep.Loaners, Since: c.now.Wall}
-			c.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
+			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
 		} else if !c.mir.Alive(e.Rec.Owner) {
 			c.takeOver(b, id, m.rep)
 		}
@@ -478,7 +478,7 @@
 
 func (c *Core) takeOver(b *batch, id protocol.MachineID, rep *protocol.Report) {
 	r := b.machine(id)
-	c.log(slog.LevelInfo, "machine taken over", "machine", string(id), "from", string(r.Owner), "baton", uint64(r.Baton+1))
+	b.log(slog.LevelInfo, "machine taken over", "machine", string(id), "from", string(r.Owner), "baton", uint64(r.Baton+1))
 	r.Owner = c.run
 	r.Baton++
 	if rep != nil {
@@ -537,7 +537,7 @@
 			key := bk.MachineKey(id)
 			b.open(key)
 			b.deletes[key] = true
-			c.log(slog.LevelInfo, "machine is gone", "machine", string(id), "tasks", len(rec.Assigned))
+			b.log(slog.LevelInfo, "machine is gone", "machine", string(id), "tasks", len(rec.Assigned))
 		}
 		return
 	}
@@ -548,7 +548,7 @@
 				return
 			}
 			r := b.machine(id)
-			c.takeBackAll(m, r, "newer session")
+			c.takeBackAll(b, m, r, "newer session")
 			r.Shift, r.Addr = rep.Shift, rep.Addr
 			if rec.Shift == 0 {
 				r.Build, r.Yard, r.Loaner = rep.Build, rep.Yard, rep.Loaners
@@ -558,7 +558,7 @@
 	}
 	if len(rec.Assigned) > 0 && c.surelyExpired(m, rec) {
 		if b.hasRoom(1) {
-			c.takeBackAll(m, b.machine(id), "lease expired")
+			c.takeBackAll(b, m, b.machine(id), "lease expired")
 			b.machine(id).Drain = true
 		}
 		return
@@ -573,18 +573,18 @@
 	}
 	if drain := c.wantsDrain(m, rec); drain != b.viewMachine(id).Drain && b.hasRoom(b.needs(id)) {
 		b.machine(id).Drain = drain
-		c.log(slog.LevelInfo, "machine drains", "machine", string(id), "on", drain, "recall", m.recallAt != 0,
+		b.log(slog.LevelInfo, "machine drains", "machine", string(id), "on", drain, "recall", m.recallAt != 0,
 			"silent_s", c.since(m.heardAt).Seconds())
 	}
 }
 
-func (c *Core) takeBackAll(m *mstate, r *bk.MachineRecord, why string) {
+func (c *Core) takeBackAll(b *batch, m *mstate, r *bk.MachineRecord, why string) {
 	for _, a := range r.Assigned {
 		a.Pieces.Each(func(n int) bool {
 			m.barred[protocol.Task{Job: a.Job, Piece: n}] = a.Try
 			return true
 		})
-		c.log(slog.LevelInfo, "tasks requeued", "machine", string(m.id), "job", string(a.Job), "tasks", a.Pieces.String(), "why", why)
+		b.log(slog.LevelInfo, "tasks requeued", "machine", string(m.id), "job", string(a.Job), "tasks", a.Pieces.String(), "why", why)
 	}
 	r.Assigned = nil
 }
@@ -627,7 +627,7 @@
 		r := b.job(t.Job)
 		r.Done = r.Done.Add(t.Piece)
 		if r.Done.Len() == r.Desc.Pieces {
-			c.log(slog.LevelInfo, "job done", "job", string(t.Job), "lane", r.Desc.Lane, "after_s", float64(c.now.Wall-r.Sent)/1000)
+			b.log(slog.LevelInfo, "job done", "job", string(t.Job), "lane", r.Desc.Lane, "after_s", float64(c.now.Wall-r.Sent)/1000)
 			*r = bk.JobRecord{Stage: protocol.Done, Count: r.Desc.Pieces, Sent: r.Sent}
 		}
 		c.requeue(b, m, t, try)
@@ -641,7 +641,7 @@
 	if p.Cause == protocol.CauseDone {
 		return true
 	}
-	c.log(slog.LevelInfo, "task ended without being done", "task", t.String(), "attempt", uint64(try), "machine", string(m.id),
+	b.log(slog.LevelInfo, "task ended without being done", "task", t.String(), "attempt", uint64(try), "machine", string(m.id),
 		"cause", string(p.Cause), "saved", p.Saved)
 	if p.Cause == protocol.CauseError {
 		c.onTaskError(m, t.Job)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -342,7 +342,7 @@
 	}
 	r := b.job(q.id)
 	if r.Claim != c.run {
-		c.log(slog.LevelInfo, "job claimed", "job", string(q.id), "from", string(r.Claim))
+		b.log(slog.LevelInfo, "job claimed", "job", string(q.id), "from", string(r.Claim))
 	}
 	r.Claim = c.run
 	r.Next += attemptBlock
@@ -542,7 +542,7 @@
 		j.next = max(j.next, try+1)
 		c.noteImage(r.id, r.fl, d)
 	})
-	c.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
+	b.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
 }
 
 // placeGang places all tasks of a gang that are not done, or none.
@@ -737,7 +737,7 @@
 			for _, s := range got {
 				r.Room = append(r.Room, s.r.id)
 			}
-			c.log(slog.LevelInfo, "room is made for a gang", "job", string(q.id), "machines", r.Room)
+			b.log(slog.LevelInfo, "room is made for a gang", "job", string(q.id), "machines", r.Room)
 		}
 	}
 	written := c.mir.Jobs[q.id].Rec.Room
