--- /dev/null
+++ b/cmd/tillerarch/settings_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodSettings = `
+member = "stall-0"
+area = "a"
+listen = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+new_field = 3
+[[members]]
+member = "stall-1"
+area = "b"
+addr = "127.0.0.2:8081"
+[outside]
+cloud = "127.0.0.3:8443"
+state = "127.0.0.3:2379"
+[[params.teams]]
+name = "core"
+cpus = 0.0
+cpus_max = 40.0
+[params.workers]
+report_s = 3.0
+lease_s = 42.0
+gang_wait_s = 40.0
+gang_peer_s = 5.0
+cancel_s = 72.0
+[params.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 24
+[params.cloud]
+rps = 10.0
+list_lag_s = 5.0
+[params.resources]
+memory_mb = 342.0
+max_sockets = 4000
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	f := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// A bad setting ends the start with one line that names the key.
+func TestSettings(t *testing.T) {
+	for _, c := range []struct{ name, old, new, key string }{
+		{"good", "", "", ""},
+		{"no name", `member = "stall-0"`, ``, "member"},
+		{"two of one name", `"stall-1"`, `"stall-0"`, "members"},
+		{"host name", `127.0.0.1:8080`, `localhost:8080`, "listen"},
+		{"no port", `127.0.0.3:2379`, `127.0.0.3`, "outside.state"},
+		{"no lease", `lease_s = 42.0`, ``, "params.workers.lease_s"},
+		{"negative rate", `write_rps = 40.0`, `write_rps = -1.0`, "params.state.write_rps"},
+		{"NaN", `list_lag_s = 5.0`, `list_lag_s = nan`, "params.cloud.list_lag_s"},
+		{"wrong type", `txn_ops = 24`, `txn_ops = "24"`, "txn_ops"},
+		{"bad limit", `cpus_max = 40.0`, `cpus_max = -1.0`, "params.teams"},
+		{"not TOML", `[outside]`, `[outside`, ""},
+	} {
+		s, err := loadSettings(write(t, "s.toml", strings.Replace(goodSettings, c.old, c.new, 1)), "")
+		if c.name == "good" {
+			if err != nil || s.core.Teams["core"].CoresMax != 40 || len(s.core.Members) != 2 || s.core.Lease != 42*time.Second {
+				t.Errorf("%+v, %v", s, err)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+func TestProperties(t *testing.T) {
+	good := write(t, "s.toml", goodSettings)
+	for _, c := range []struct{ text, key string }{
+		{"spot.window = 90s\nspot.cap=3\nwrite.share: 0.5\n# a comment\n", ""},
+		{"spot.window = 90", "spot.window"},
+		{"spot.window = -1s", "spot.window"},
+		{"spot.cap = many", "spot.cap"},
+		{"write.share = 0", "write.share"},
+		{"spot.windw = 90s", "spot.windw"},
+	} {
+		s, err := loadSettings(good, write(t, "p.properties", c.text))
+		if c.key == "" {
+			if err != nil || s.core.SpotWindow != 90*time.Second || s.core.SpotCap != 3 || s.core.WriteShare != 0.5 {
+				t.Errorf("%v", err)
+			}
+		} else if err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%q: %v", c.text, err)
+		}
+	}
+}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -66,18 +66,18 @@
 	Rank         Rank     `json:"rank"`
 	Pieces       int      `json:"pieces"`
 	Cores        float64  `json:"cores"`
-	Accelerators float64  `json:"accelerators,omitempty"`
+	Accelerators float64  `json:"accelerators"`
 	MemGB        float64  `json:"mem_gb"`
 	Bundle       string   `json:"bundle"`
 	PullGB       float64  `json:"pull_gb"`
 	Builds       []Sku    `json:"builds,omitempty"`
 	Yard         Zone     `json:"yard,omitempty"`
-	Together     bool     `json:"together,omitempty"`
-	Scatter      bool     `json:"scatter,omitempty"`
-	Loaners      bool     `json:"loaners,omitempty"`
+	Together     bool     `json:"together"`
+	Scatter      bool     `json:"scatter"`
+	Loaners      bool     `json:"loaners"`
 	ReckonS      float64  `json:"reckon_s"`
-	BookmarkS    float64  `json:"bookmark_s,omitempty"`
-	StowS        float64  `json:"stow_s,omitempty"`
+	BookmarkS    float64  `json:"bookmark_s"`
+	StowS        float64  `json:"stow_s"`
 	DueS         *float64 `json:"due_s,omitempty"`
 }
 
@@ -115,7 +115,7 @@
 		UID, Lane, Desk     *string
 		Shape               *Shape
 		Rank                *Rank
-		Pieces              *json.Number
+		Pieces              *float64
 		Cores, Accelerators *float64
 		MemGB               *float64 `json:"mem_gb"`
 		Bundle              *string
@@ -148,7 +148,7 @@
 		return nil, bad("pieces")
 	case !amount(w.Cores, big):
 		return nil, bad("cores")
-	case w.Accelerators != nil && !amount(w.Accelerators, big):
+	case !amount(w.Accelerators, big):
 		return nil, bad("accelerators")
 	case !amount(w.MemGB, big):
 		return nil, bad("mem_gb")
@@ -162,25 +162,25 @@
 		return nil, bad("yard")
 	case !amount(w.ReckonS, big):
 		return nil, bad("reckon_s")
-	case w.BookmarkS != nil && !amount(w.BookmarkS, big):
+	case !amount(w.BookmarkS, big):
 		return nil, bad("bookmark_s")
-	case w.StowS != nil && !amount(w.StowS, big):
+	case !amount(w.StowS, big):
 		return nil, bad("stow_s")
+	case w.Together == nil || w.Scatter == nil || w.Loaners == nil:
+		return nil, bad("together, scatter or loaners")
 	case w.DueS != nil && !amount(w.DueS, big):
 		return nil, bad("due_s")
 	}
 	if _, ok := ranks[*w.Rank]; !ok {
 		return nil, bad("rank")
 	}
-	n, err := w.Pieces.Int64()
-	if err != nil || n < 1 || n > MaxPieces {
+	n := *w.Pieces
+	if n != math.Trunc(n) || n < 1 || n > MaxPieces {
 		return nil, bad("pieces")
 	}
 	j := &Job{UID: JobID(*w.UID), Lane: *w.Lane, Desk: *w.Desk, Shape: *w.Shape, Rank: *w.Rank, Pieces: int(n),
-		Cores: *w.Cores, MemGB: *w.MemGB, Bundle: *w.Bundle, PullGB: *w.PullGB, ReckonS: *w.ReckonS, DueS: w.DueS}
-	if w.Accelerators != nil {
-		j.Accelerators = *w.Accelerators
-	}
+		Cores: *w.Cores, MemGB: *w.MemGB, Bundle: *w.Bundle, PullGB: *w.PullGB, ReckonS: *w.ReckonS, DueS: w.DueS,
+		Accelerators: *w.Accelerators, Together: *w.Together, Scatter: *w.Scatter, Loaners: *w.Loaners, BookmarkS: *w.BookmarkS, StowS: *w.StowS}
 	if w.Builds != nil {
 		j.Builds = *w.Builds
 		for _, s := range j.Builds {
@@ -192,15 +192,6 @@
 	if w.Yard != nil {
 		j.Yard = *w.Yard
 	}
-	j.Together = w.Together != nil && *w.Together
-	j.Scatter = w.Scatter != nil && *w.Scatter
-	j.Loaners = w.Loaners != nil && *w.Loaners
-	if w.BookmarkS != nil {
-		j.BookmarkS = *w.BookmarkS
-	}
-	if w.StowS != nil {
-		j.StowS = *w.StowS
-	}
 	return j, nil
 }
 
