Orderly stop of gangs on recall and preemption; less sorting; a found machine gets time to report

Found by stand-ins: a machine adopted from the list was returned at once as never come up, by its age. Found by reading: nothing ever put an orderly stop on record, so a gang of several tasks lost its progress when one of its machines was recalled.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -151,7 +151,9 @@
 			return ""
 		}
 		limit := time.Duration(float64(protocol.Seconds(fl.ReadyS))*c.cfg.BootFactor) + c.cfg.BootExtra
-		if age > limit {
+		// Its age alone says nothing of a machine that this node has only just
+		// found in the list or taken over: its worker gets the time to report.
+		if age > limit && c.since(m.heardAt) > protocol.Seconds(fl.ReadyS) {
 			return "never came up"
 		}
 		if l := c.listed[m.id]; l != nil && l.host.Stage == protocol.HostFailed {
@@ -247,7 +249,7 @@
 		// Lists come late and out of order: one that lacks a machine counts
 		// only if it was asked for well after one that had it.
 		if !have[id] && v.Asked.Sub(l.seenAt) > 0 {
-			if l.missing++; l.missing > 30 {
+			if l.missing++; l.missing > 5 {
 				delete(c.listed, id)
 			}
 		}
@@ -265,9 +267,10 @@
 // whose renter died before it wrote them down. They are adopted, to be used or
 // returned.
 func (c *Core) strangers(b *batch) {
-	for _, id := range sorted(c.listed) {
+	unknown := pick(c.listed, func(l *listing) bool { return c.mir.Machines[l.host.UID] == nil })
+	for _, id := range unknown {
 		l := c.listed[id]
-		if c.mir.Machines[id] != nil || l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.hasRoom(1) || b.machines[id] != nil {
+		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.hasRoom(1) || b.machines[id] != nil {
 			continue
 		}
 		if _, ok := c.released[id]; ok || !c.heir(bk.MachineKey(id)) || c.hiring(id) {
@@ -317,7 +320,7 @@
 			delete(c.hires, name)
 		}
 	}
-	for _, id := range sorted(c.mir.Machines) {
+	for _, id := range b.ids() {
 		e := c.mir.Machines[id]
 		if m := c.machines[id]; m != nil && m.leave != "" && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) {
 			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -20,8 +20,9 @@
 	machines map[protocol.MachineID]*bk.MachineRecord
 	teams    map[string]bool
 	deletes  map[string]bool
-	marks    []func() // what to remember once it is sent
-	logs     []Effect // lines for the operator once it is applied
+	marks    []func()             // what to remember once it is sent
+	known    []protocol.MachineID // all machines in order
+	logs     []Effect             // lines for the operator once it is applied
 }
 
 func (c *Core) newBatch(room int) *batch {
@@ -38,6 +39,14 @@
 	b.room--
 }
 
+// ids lists all machines on record, in order.
+func (b *batch) ids() []protocol.MachineID {
+	if b.known == nil {
+		b.known = sorted(b.c.mir.Machines)
+	}
+	return b.known
+}
+
 // hasRoom tells whether n more records can be changed.
 func (b *batch) hasRoom(n int) bool {
 	return b.room >= n && b.size+n*b.c.cfg.ValueBytes/4 < protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
@@ -177,6 +186,7 @@
 	}
 	b := c.newBatch(room)
 	c.writeUsers(b)
+	c.writeHalts(b)
 	c.writeTakeovers(b)
 	urgent := !b.empty()
 	if urgent || now >= c.nextPlan() {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -59,6 +59,7 @@
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
 	aborts   map[protocol.JobID]*protocol.Instant // being withdrawn
+	halts    map[protocol.JobID]protocol.Attempt  // attempts of gangs that are to stop in order
 	waiters  []*waiter
 	revOut   bool // a revision is being read
 	machines map[protocol.MachineID]*mstate
@@ -110,7 +111,7 @@
 	c := &Core{
 		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
 		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]*protocol.Instant{},
-		machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
+		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, deadAt: map[bk.Run]protocol.Instant{},
@@ -125,6 +126,18 @@
 // only, never on the order in which a map happens to be walked.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
+// pick lists, in order, the keys whose values are to be looked at.
+func pick[K cmp.Ordered, V any](m map[K]V, keep func(V) bool) []K {
+	var out []K
+	for k, v := range m {
+		if keep(v) {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 func (c *Core) log(l slog.Level, msg string, args ...any) { c.emit(Log{l, msg, args}) }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -267,11 +267,8 @@
 }
 
 func (c *Core) settleBeats() {
-	for _, id := range sorted(c.machines) {
+	for _, id := range pick(c.machines, func(m *mstate) bool { return m.held != 0 }) {
 		m := c.machines[id]
-		if m.held == 0 {
-			continue
-		}
 		e := c.mir.Machines[id]
 		if m.adopt {
 			switch {
@@ -446,12 +443,27 @@
 	}
 }
 
+// writeHalts puts the orderly stop of gangs on record. Every owner of a machine
+// with one of the tasks reads it there at once and sends the stop directly, so
+// that all tasks hear of it within gang_peer_s.
+func (c *Core) writeHalts(b *batch) {
+	for _, id := range sorted(c.halts) {
+		e := c.mir.Jobs[id]
+		if e == nil || e.Rec.Stage.Final() || e.Rec.Halt >= c.halts[id] {
+			delete(c.halts, id)
+		} else if b.hasRoom(b.needs("", id)) {
+			b.job(id).Halt = c.halts[id]
+			b.log(slog.LevelInfo, "gang stops in order", "job", string(id), "attempt", uint64(c.halts[id]))
+		}
+	}
+}
+
 // writeTakeovers writes the ownership of machines that report here, and of
 // those whose owner has been dead for a while and that fall to this node.
 func (c *Core) writeTakeovers(b *batch) {
-	for _, id := range sorted(c.machines) {
+	for _, id := range pick(c.machines, func(m *mstate) bool { return m.adopt && m.held != 0 }) {
 		m := c.machines[id]
-		if !m.adopt || m.held == 0 || !b.hasRoom(1) {
+		if !b.hasRoom(1) {
 			continue
 		}
 		e := c.mir.Machines[id]
@@ -464,7 +476,10 @@
 			c.takeOver(b, id, m.rep)
 		}
 	}
-	for _, id := range sorted(c.mir.Machines) {
+	if len(c.deadAt) == 0 {
+		return
+	}
+	for _, id := range b.ids() {
 		e := c.mir.Machines[id]
 		at, dead := c.deadAt[e.Rec.Owner]
 		if !dead || b.machines[id] != nil || c.since(at) < 1500*time.Millisecond || !b.hasRoom(1) {
@@ -492,7 +507,7 @@
 // writeMachines brings the records of owned machines in line with what their
 // workers report: one write per machine, whatever ended there.
 func (c *Core) writeMachines(b *batch) {
-	for _, id := range sorted(c.mir.Machines) {
+	for _, id := range b.ids() {
 		e := c.mir.Machines[id]
 		if c.mine(&e.Rec) {
 			c.reconcile(b, id, e)
@@ -794,6 +809,10 @@
 			c.stop(m, p.Task, p.Try, d.StowS, "recall")
 			urgent = true
 		}
+		if m.recallAt != 0 && d.Saves() && d.Gang() && d.Pieces > 1 && p.Stage == protocol.TaskRunning && je.Rec.Halt < p.Try &&
+			left < protocol.Seconds(d.StowS)+2*c.cfg.Report+c.cfg.GangPeer+time.Second && left > protocol.Seconds(d.StowS) {
+			c.halts[p.Task.Job] = p.Try
+		}
 		if s, ok := m.stops[p.Task]; ok && s.try == p.Try && p.Stage != protocol.Flushing {
 			urgent = true
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -109,7 +109,7 @@
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
 	var out []*room
-	for _, id := range sorted(c.mir.Machines) {
+	for _, id := range b.ids() {
 		rec := b.viewMachine(id)
 		fl := c.flavor(rec.Build)
 		if fl == nil || b.deletes[bk.MachineKey(id)] {
@@ -282,10 +282,6 @@
 	c.noteAssigned(rooms)
 	for _, q := range c.queue(b, rooms) {
 		c.claim(b, q)
-		if q.rec.Halt > 0 && q.placed == 0 && q.rec.Claim == c.run && b.hasRoom(b.needs("", q.id)) {
-			b.job(q.id).Halt = 0
-			q.rec = b.viewJob(q.id)
-		}
 		if q.rec.Desc.Gang() {
 			c.placeGang(b, q, rooms)
 		} else {
@@ -623,7 +619,7 @@
 	if left <= 0 {
 		j.building = 0
 	}
-	if left <= 0 || !c.ours(b, q) || q.rec.Halt > 0 {
+	if left <= 0 || !c.ours(b, q) {
 		return
 	}
 	var try protocol.Attempt
@@ -637,7 +633,7 @@
 	}
 	// Only an attempt that is still being written. One that has lost a task is
 	// not mended: its other tasks end, and the gang starts anew as a whole.
-	if try == 0 || try != j.building || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
+	if try == 0 || try != j.building || q.rec.Halt >= try || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
 		return
 	}
 	for _, s := range c.gangShares(q, rooms, q.onlyZone(), left, nil) {
@@ -897,6 +893,10 @@
 	if m == nil {
 		return
 	}
+	if h.desc.Gang() && h.desc.Pieces > 1 && h.desc.Saves() {
+		c.halts[h.job] = h.try // all its tasks must hear of it, not only those here
+		return
+	}
 	grace := 0.0
 	if h.desc.Saves() {
 		grace = h.desc.StowS + 0.5
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,12 +37,17 @@
 	sentAt  time.Duration
 	dueAt   time.Duration
 	changed bool
+	recall  time.Duration // when the cloud takes it; 0: not known
 }
 
 func (m *Worker) body() []byte {
 	m.tally++
 	r := protocol.Report{Stall: m.ID, Addr: "10.1.0.1:1", Build: m.Build, Yard: m.Zone, Loaners: m.Loaner,
 		Shift: m.shift, Tally: m.tally, Baton: m.baton, Pieces: []protocol.TaskReport{}}
+	if m.recall > 0 {
+		left := (m.recall - m.w.Now).Seconds()
+		r.RecallS = &left
+	}
 	for _, t := range m.order() {
 		k := m.tasks[t]
 		r.Pieces = append(r.Pieces, protocol.TaskReport{Task: t, Try: k.try, Stage: k.stage, Cause: k.cause, Saved: k.saved})
@@ -129,6 +134,7 @@
 			m.end(t, k, protocol.CauseDone)
 		case protocol.Flushing:
 			k.saved = true
+			m.w.Saved[d.UID]++
 			m.end(t, k, "stopped")
 		}
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -67,6 +67,7 @@
 	GangWait time.Duration
 	Drop     float64 // part of the messages that are lost or held up
 	Done     map[protocol.JobID]bool
+	Saved    map[protocol.JobID]int // tasks that saved when they were stopped
 	Trace    func(string)
 
 	queue   events
@@ -74,6 +75,7 @@
 	hires   map[string][]protocol.MachineID
 	nextID  int
 	NoCloud bool
+	NoHire  bool // the cloud has no capacity
 }
 
 var errLost = errors.New("no answer")
@@ -83,7 +85,7 @@
 	w := &World{Rng: rand.New(rand.NewPCG(seed, 11)), State: NewState(500), Rules: NewRules(30 * time.Second),
 		Workers: map[protocol.MachineID]*Worker{}, Jobs: map[protocol.JobID]*protocol.Job{}, Flavors: flavors,
 		Report: 2 * time.Second, Lease: 14 * time.Second, GangWait: 20 * time.Second, hires: map[string][]protocol.MachineID{},
-		Done: map[protocol.JobID]bool{}}
+		Done: map[protocol.JobID]bool{}, Saved: map[protocol.JobID]int{}}
 	for name, t := range teams {
 		w.Rules.Limits[name] = t.CoresMax
 	}
@@ -323,6 +325,9 @@
 			coordination.FlavorsResult{Err: errLost})
 	case coordination.SendHire:
 		n.call(w.NoCloud, wait, func() coordination.Input {
+			if w.NoHire {
+				return coordination.HireResult{Hire: v.Hire, NoCapacity: true}
+			}
 			if _, ok := w.hires[v.Hire.Hire]; !ok {
 				w.hires[v.Hire.Hire] = nil
 				for i := 0; i < v.Hire.Count && len(w.Workers) < 400; i++ {
@@ -435,6 +440,15 @@
 	}
 }
 
+// Recall takes a machine away after a notice.
+func (w *World) Recall(id protocol.MachineID, notice time.Duration) {
+	if m := w.Workers[id]; m != nil && !m.Gone {
+		m.recall = w.Now + notice
+		m.changed = true
+		w.At(notice, func() { w.Lose(id) })
+	}
+}
+
 // toNode brings a worker's report to a controller and the answer back.
 func (w *World) toNode(n *Node, m *Worker, body []byte, back func(int, []byte)) {
 	d := w.delay()
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -123,6 +125,17 @@
 				})
 			}
 		}},
+		{"a wave of reclaims, some without notice", 0.01, func(w *World) {
+			w.At(s(40), func() {
+				for i, id := range slices.Sorted(maps.Keys(w.Workers)) {
+					if i%3 == 0 {
+						w.Recall(id, s(9))
+					} else if i%3 == 1 {
+						w.Lose(id)
+					}
+				}
+			})
+		}},
 		{"everything at once", 0.03, func(w *World) {
 			for i := 0; i < 5; i++ {
 				n := w.Nodes[i%3]
@@ -174,6 +187,69 @@
 	}
 }
 
+// A gang on a machine that is recalled stops in order: all its tasks hear of it
+// in time and save, and it goes on elsewhere as a whole.
+func TestGangSavesOnRecall(t *testing.T) {
+	w := NewWorld(5, 3, testFlavors, testTeams())
+	for i := 0; i < 12; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	d := &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Group, Rank: "high", Pieces: 5, Cores: 4, MemGB: 1,
+		Bundle: "b", ReckonS: 40, BookmarkS: 20, StowS: 2}
+	w.At(3*time.Second, func() { w.Submit(d) })
+	w.Run(20 * time.Second)
+	var on protocol.MachineID
+	for _, id := range slices.Sorted(maps.Keys(w.Workers)) {
+		for _, k := range w.Workers[id].tasks {
+			if k.stage == protocol.TaskRunning {
+				on = id
+			}
+		}
+	}
+	if on == "" {
+		t.Fatal("the gang does not run")
+	}
+	w.Recall(on, 14*time.Second)
+	w.Run(14 * time.Second)
+	if w.Saved["j-1"] != 5 {
+		t.Errorf("%d of 5 tasks have saved", w.Saved["j-1"])
+	}
+	w.Run(100 * time.Second)
+	w.Rules.End()
+	if !w.Done["j-1"] || len(w.Rules.Broken) > 0 {
+		t.Errorf("done %v, broken %v", w.Done["j-1"], w.Rules.Broken)
+	}
+}
+
+// A job of higher rank takes the place of lower ones, one of the same does not.
+func TestPreemption(t *testing.T) {
+	w := NewWorld(6, 1, testFlavors[1:], testTeams())
+	w.NoHire = true
+	if os.Getenv("TRACE") != "" {
+		w.Trace = func(l string) { t.Log(l) }
+	}
+	w.Machine("large", "a", false, 0)
+	low := &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "low", Pieces: 16, Cores: 2, MemGB: 1, Bundle: "b", ReckonS: 60}
+	high := &protocol.Job{UID: "j-2", Lane: "l", Desk: "core", Shape: protocol.Group, Rank: "high", Pieces: 1, Cores: 30, MemGB: 1, Bundle: "b", ReckonS: 5}
+	same := &protocol.Job{UID: "j-3", Lane: "l", Desk: "core", Shape: protocol.Group, Rank: "low", Pieces: 1, Cores: 30, MemGB: 1, Bundle: "b", ReckonS: 5}
+	w.At(2*time.Second, func() { w.Submit(low) })
+	w.At(8*time.Second, func() { w.Submit(same) })
+	w.Run(18 * time.Second)
+	if w.Done["j-3"] || w.Rules.Started != 16 {
+		t.Fatalf("a job of the same rank took the place: %d started", w.Rules.Started)
+	}
+	w.Submit(high)
+	w.Run(15 * time.Second)
+	if !w.Done["j-2"] {
+		t.Error("the job of higher rank did not get its place")
+	}
+	w.Run(300 * time.Second)
+	w.Rules.End()
+	if !w.Done["j-1"] || !w.Done["j-3"] || len(w.Rules.Broken) > 0 {
+		t.Errorf("done %v, broken %v", w.Done, w.Rules.Broken)
+	}
+}
+
 // Each check of Rules must be able to fail.
 func TestRulesCanBreak(t *testing.T) {
 	d := &protocol.Job{UID: "j-1", Desk: "x", Pieces: 2, Cores: 2, Shape: protocol.Batch, Builds: []protocol.Sku{"small"}}
