Hand a machine over when its worker reports elsewhere; read the list sooner while machines are silent

Cause: an owner cut off from the workers alone kept its lease, and every other node sent its workers back to it until their leases ran out. A hint now tells the owner where they report.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -98,7 +98,11 @@
 		c.releaseOut = true
 		c.emit(SendRelease{names})
 	}
+	if c.silentOwn > 0 {
+		c.listAt = min(c.listAt, c.listedAt.Add(c.cfg.ListSilent))
+	}
 	if !c.listOut && now >= c.listAt {
+		c.listedAt = now
 		c.listOut = true
 		c.listAt = now.Add(c.jitter(c.cfg.ListEvery))
 		c.emit(AskList{})
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -77,13 +77,16 @@
 	releasing  map[protocol.MachineID]*release
 	releaseOut bool
 	listOut    bool
-	listAt     protocol.Instant
+	listAt     protocol.Instant // next read of the list
+	listedAt   protocol.Instant // last one
+	silentOwn  int              // owned machines that are silent
 	listed     map[protocol.MachineID]*listing
 	released   map[protocol.MachineID]protocol.Instant
 	spot       map[priceKey]*Threshold
 	demand     []want
 
 	peers      map[protocol.Member]peer
+	strayed    map[protocol.MachineID]protocol.Instant // reported here though another run owns them
 	hintAt     protocol.Instant
 	deadAt     map[bk.Run]protocol.Instant // since when a run is known to be dead
 	planned    plan
@@ -114,7 +117,7 @@
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
-		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, deadAt: map[bk.Run]protocol.Instant{},
+		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]protocol.Instant{}, deadAt: map[bk.Run]protocol.Instant{},
 		started: now.Steady,
 	}
 	burst := max(int(cfg.WriteRPS*cfg.WriteShare), 2*cfg.TxnOps, 4)
@@ -190,7 +193,7 @@
 	case DoResult:
 		c.onDo(v)
 	case HintInput:
-		c.peers[v.Hint.Member] = peer{v.Hint, c.now.Steady}
+		c.onHint(v.Hint)
 	case Tick:
 		c.tick()
 	default:
@@ -217,6 +220,18 @@
 	c.emit(Follow{c.mir.Rev})
 }
 
+// onHint takes in what another controller says of itself. A machine that is
+// silent here but reports there is handed over: the way between its worker and
+// this node is broken, and waiting would only let its lease run out.
+func (c *Core) onHint(h Hint) {
+	c.peers[h.Member] = peer{h, c.now.Steady}
+	for _, id := range h.Seen[:min(len(h.Seen), 200)] {
+		if e := c.mir.Machines[id]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
+			c.own(e, id).handTo, c.own(e, id).handAt = h.Run, c.now.Steady
+		}
+	}
+}
+
 // heard notes whether the state service answered.
 func (c *Core) heard(err error) bool {
 	if err == nil || errors.Is(err, bk.ErrGone) || errors.Is(err, bk.ErrTooOld) {
@@ -280,7 +295,13 @@
 	}
 	if now >= c.hintAt {
 		c.hintAt = now.Add(c.jitter(time.Second))
-		c.emit(SendHint{Hint{c.cfg.Member, c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}})
+		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
+		if c.registered() {
+			h.Run = c.run
+			h.Seen = pick(c.strayed, func(at protocol.Instant) bool { return c.since(at) < 3*time.Second })
+		}
+		clear(c.strayed)
+		c.emit(SendHint{h})
 	}
 	c.tickUsers()
 	if now < c.tickAt {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -7,7 +7,7 @@
 	"log/slog"
 	"time"
 
-	"tillerarch/internal/bookkeeping"
+	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
 
@@ -37,7 +37,7 @@
 	// CommitResult is the outcome of a transaction.
 	CommitResult struct {
 		ID      uint64
-		Outcome bookkeeping.Outcome
+		Outcome bk.Outcome
 		Answer  protocol.MultiAnswer
 		Err     error
 	}
@@ -108,6 +108,10 @@
 type Hint struct {
 	Member  protocol.Member
 	StateOK bool // the sender reaches the state service
+	Run     bk.Run
+	// Machines of other owners whose workers report to the sender: their owners
+	// may be cut off from them.
+	Seen []protocol.MachineID
 }
 
 // Effects of the core.
@@ -210,6 +214,7 @@
 	HireCap      int
 	NoCapacity   time.Duration // pause after the cloud had none
 	ListEvery    time.Duration
+	ListSilent   time.Duration // and while an owned machine is silent
 }
 
 // DefaultTuning holds the values chosen by measurement; docs/operations.md says how.
@@ -221,6 +226,6 @@
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
 		SpotCheck: 10 * time.Second, SpotCap: 40, SpotLoss: 4, HireCap: 12, NoCapacity: 12 * time.Second,
-		ListEvery: 10 * time.Second,
+		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -46,6 +46,8 @@
 	idleSince protocol.Instant
 	faulty    bool
 	leave     string // why the machine is to go back
+	handTo    bk.Run // a run to which the worker reports instead
+	handAt    protocol.Instant
 	ownedRun  bk.Run
 	ownedBat  protocol.Baton
 }
@@ -115,6 +117,7 @@
 		m.answered, m.baton = 0, 0
 		m.heardAt = c.now.Steady
 		m.idleSince = 0
+		m.handTo = ""
 	}
 	return m
 }
@@ -185,6 +188,7 @@
 	if e == nil || !c.mine(&e.Rec) {
 		switch {
 		case e != nil && c.mir.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
+			c.strayed[r.Stall] = c.now.Steady
 			c.redirect(v.Req, e.Rec.Owner.Member())
 		case c.stateDown() || !c.registered():
 			c.redirect(v.Req, "")
@@ -556,6 +560,13 @@
 		}
 		return
 	}
+	if m.handTo != "" && c.since(m.handAt) < 4*time.Second && c.quiet(m) && c.mir.Alive(m.handTo) && b.hasRoom(1) {
+		r := b.machine(id)
+		r.Owner, r.Drain = m.handTo, false
+		r.Baton++
+		b.log(slog.LevelInfo, "machine handed over, its worker reports there", "machine", string(id), "to", string(m.handTo))
+		return
+	}
 	// A newer session: whatever was assigned in the old one has been killed.
 	if rep != nil && rep.Shift > rec.Shift && rep.Baton <= rec.Baton {
 		if rec.Shift > 0 || len(rec.Assigned) == 0 {
@@ -689,6 +700,11 @@
 	return m.recallAt != 0 || m.faulty || c.now.Steady < m.restUntil || r.Shift > 0 && c.silent(m)
 }
 
+// quiet tells whether a worker has missed a report for sure.
+func (c *Core) quiet(m *mstate) bool {
+	return m.held == 0 && c.since(m.heardAt) > c.cfg.Report*5/4+1500*time.Millisecond
+}
+
 // silent tells whether a worker has missed several reports.
 func (c *Core) silent(m *mstate) bool {
 	return m.held == 0 && c.since(m.heardAt) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
@@ -718,6 +734,7 @@
 	}
 	// If nearly all fall silent, it is this node that is cut off.
 	cutOff := quiet > 3 && quiet*3 > total*2
+	c.silentOwn = quiet
 	for _, id := range sorted(c.mir.Machines) {
 		e := c.mir.Machines[id]
 		if !c.mine(&e.Rec) {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -221,6 +221,31 @@
 	}
 }
 
+// An owner that its workers no longer reach hands their machines to the node
+// they report to, before their leases run out: the tasks go on.
+func TestHandOver(t *testing.T) {
+	w := NewWorld(7, 3, testFlavors, testTeams())
+	for i := 0; i < 6; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	d := &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "standard", Pieces: 12, Cores: 2, MemGB: 1, Bundle: "b", ReckonS: 90}
+	w.At(3*time.Second, func() { w.Submit(d) })
+	w.Run(12 * time.Second)
+	owners := map[int]int{}
+	for _, m := range w.Workers {
+		owners[m.node%3]++
+	}
+	if w.Rules.Started != 12 || owners[0] == 0 {
+		t.Fatalf("%d started, owners %v", w.Rules.Started, owners)
+	}
+	w.Nodes[0].NoWorker = true
+	w.Run(200 * time.Second)
+	w.Rules.End()
+	if w.Rules.Started != 12 || !w.Done["j-1"] || len(w.Rules.Broken) > 0 {
+		t.Errorf("%d starts for 12 tasks, done %v, broken %v", w.Rules.Started, w.Done["j-1"], w.Rules.Broken)
+	}
+}
+
 // A job of higher rank takes the place of lower ones, one of the same does not.
 func TestPreemption(t *testing.T) {
 	w := NewWorld(6, 1, testFlavors[1:], testTeams())
