--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -222,7 +222,7 @@
 	return Tuning{
 		HoldTTL: 6 * time.Second, FlushGap: 100 * time.Millisecond, BeatHold: 700 * time.Millisecond,
 		IdleHold: 2500 * time.Millisecond, WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
-		IdleFactor: 1.4, MinPaid: 60 * time.Second,
+		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
 		SpotCheck: 10 * time.Second, SpotCap: 40, SpotLoss: 4, HireCap: 12, NoCapacity: 12 * time.Second,
