--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -26,6 +26,7 @@
 	workerWait  = 2 * time.Second
 	followWait  = 8 * time.Second
 	queueLength = 1024
+	cloudShare  = 0.6
 )
 
 // message is an input with the request it came from, if any.
@@ -71,7 +72,9 @@
 		Watch:   transport.NewClient(s.state, 1, stateTokens),
 		Timeout: stateWait,
 	}
-	d.cloud = transport.NewClient(s.cloud, 3, perNode(s.cloudRPS))
+	// The cloud's calls come in bursts at one controller, the one whose jobs need
+	// machines: each may use more than its even part. A 429 is only a delay.
+	d.cloud = transport.NewClient(s.cloud, 4, rate.NewLimiter(rate.Limit(s.cloudRPS*cloudShare), max(int(s.cloudRPS), 2)))
 	for _, a := range s.peers {
 		d.peers = append(d.peers, transport.NewPeerLink(a))
 	}
