--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -17,6 +17,7 @@
 	fl     *protocol.Flavor
 	coming bool // rented, but not up yet: nothing is written to it
 	closed bool // takes no new task
+	margin bool // because its period is about to end
 	cores  float64
 	accels float64
 	mem    float64
@@ -130,7 +131,8 @@
 		}
 		if rec.Loaner && !r.closed {
 			age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
-			if t := c.spot[priceKey{rec.Build, rec.Yard}]; t != nil && !t.Open() || NearBoundary(id, age, c.cfg.SpotPeriod, c.cfg.SpotMargin) {
+			r.margin = NearBoundary(id, age, c.cfg.SpotPeriod, c.cfg.SpotMargin)
+			if t := c.spot[priceKey{rec.Build, rec.Yard}]; t != nil && !t.Open() || r.margin {
 				r.closed = true
 			}
 		}
@@ -298,6 +300,7 @@
 	c.fleetAt = c.now.Steady.Add(10 * time.Second)
 	type sum struct {
 		up, coming  int
+		margin      int
 		cores, used float64
 	}
 	sums := map[poolKey]*sum{}
@@ -311,11 +314,17 @@
 			continue
 		}
 		sums[k].up++
+		if r.margin {
+			sums[k].margin++
+		}
 		sums[k].cores += r.fl.Cores
 		sums[k].used += r.fl.Cores - r.cores
 	}
+	for k, t := range c.spot {
+		c.log(slog.LevelDebug, "spot rule", "type", string(k.sku), "zone", string(k.yard), "price", t.price, "threshold", t.value, "open", t.Open())
+	}
 	for k, s := range sums {
-		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used)
+		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used, "margin", s.margin)
 	}
 }
 
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -246,6 +246,51 @@
 	}
 }
 
+// Above the threshold nothing new goes to spot machines, in rentals and
+// placements, until the threshold is recomputed.
+func TestSpotHalts(t *testing.T) {
+	w := NewWorld(8, 3, append([]protocol.Flavor(nil), testFlavors...), testTeams())
+	job := func(id protocol.JobID) *protocol.Job {
+		return &protocol.Job{UID: id, Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "standard", Pieces: 8, Cores: 4, MemGB: 1,
+			Bundle: "b", ReckonS: 10, BookmarkS: 5, StowS: 1, Loaners: true}
+	}
+	spots := func() (n int) {
+		for _, m := range w.Workers {
+			if m.Loaner {
+				n++
+			}
+		}
+		return n
+	}
+	w.At(2*time.Second, func() { w.Submit(job("j-1")) })
+	w.Run(30 * time.Second)
+	before := spots()
+	if !w.Done["j-1"] || before == 0 {
+		t.Fatalf("done %v with %d spot machines", w.Done["j-1"], before)
+	}
+	for i := range w.Flavors {
+		w.Flavors[i].LowPrice = 0.9 * w.Flavors[i].Rate
+	}
+	w.Run(13 * time.Second) // the next check sees it
+	on := func() (n int) {
+		for _, m := range w.Workers {
+			if m.Loaner && !m.Gone {
+				n += len(m.tasks)
+			}
+		}
+		return n
+	}
+	w.Submit(job("j-2"))
+	w.Run(5 * time.Second)
+	if on() != 0 || spots() != before {
+		t.Errorf("%d tasks on spot machines, %d machines after %d", on(), spots(), before)
+	}
+	w.Run(40 * time.Second)
+	if !w.Done["j-2"] {
+		t.Error("steady machines did not take over")
+	}
+}
+
 // A job of higher rank takes the place of lower ones, one of the same does not.
 func TestPreemption(t *testing.T) {
 	w := NewWorld(6, 1, testFlavors[1:], testTeams())
