--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -188,8 +188,10 @@
 	c.writeUsers(b)
 	c.writeHalts(b)
 	c.writeTakeovers(b)
-	urgent := !b.empty()
-	if urgent || now >= c.nextPlan() {
+	// What can wait does so until a fair batch can be paid for: a job's record
+	// is then written once for many machines, instead of with each of them.
+	fair := min(c.cfg.TxnOps, int(c.cfg.WriteRPS*c.cfg.WriteShare/2))
+	if tokens >= fair && (!b.empty() || now >= c.nextPlan()) {
 		c.writeMachines(b)
 		c.writeCloud(b)
 		c.place(b)
