--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -22,7 +22,6 @@
 	accels float64
 	mem    float64
 	used   []held
-	pulls  int // tasks planned or assigned whose image may still be fetched
 }
 
 // held is what a job has on a machine.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -54,13 +54,12 @@
 //     a sweep closes idle ones, and if slow readers hold too many, the loop is
 //     started anew.
 type Server struct {
-	cfg     ServerConfig
-	handle  Handler
-	mu      sync.Mutex
-	conns   map[*conn]bool
-	Peer    func(frame []byte) // takes what other controllers send
-	stop    atomic.Bool
-	Accepts atomic.Int64
+	cfg    ServerConfig
+	handle Handler
+	mu     sync.Mutex
+	conns  map[*conn]bool
+	Peer   func(frame []byte) // takes what other controllers send
+	stop   atomic.Bool
 }
 
 // NewServer makes a server; Run starts it.
@@ -101,7 +100,6 @@
 func (s *Server) opened(ev evio.Conn) ([]byte, evio.Options, evio.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Accepts.Add(1)
 	opts := evio.Options{TCPKeepAlive: 30 * time.Second, ReuseInputBuffer: true}
 	if len(s.conns) >= s.cfg.MaxConns {
 		return nil, opts, evio.Close
