Start tasks only on a mirror known to be up to date

Cause (by reading): a watch that stands still while calls are answered, as when a connection stalls, left the owner acting on old records for up to ten seconds. The mirror's age counts now, and /follow is asked anew every 3 s.

--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -24,7 +24,7 @@
 	stateWait   = 1500 * time.Millisecond
 	cloudWait   = 10 * time.Second
 	workerWait  = 2 * time.Second
-	followWait  = 8 * time.Second
+	followWait  = 3 * time.Second // below hold.ttl: the mirror's age tells whether it may be acted on
 	queueLength = 1024
 	cloudShare  = 0.6
 )
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -32,6 +32,7 @@
 	loading   bool
 	following bool
 	followAt  protocol.Instant
+	mirrorAt  protocol.Instant // when the mirror was last known to be up to date
 	retryAt   protocol.Instant // next try of load or follow
 	stateOK   protocol.Instant // last answer of the state service
 	stateBad  protocol.Instant // last failure
@@ -254,7 +255,9 @@
 
 // fresh tells whether new starts may rest on the mirror.
 func (c *Core) fresh() bool {
-	return c.loaded && c.registered() && c.since(c.stateOK) < c.cfg.HoldTTL/2
+	// Calls may be answered while the watch stands still: the mirror's own age
+	// counts too, or a task of a job withdrawn long ago could be started.
+	return c.loaded && c.registered() && c.since(c.stateOK) < c.cfg.HoldTTL/2 && c.since(c.mirrorAt) < c.cfg.HoldTTL
 }
 
 func (c *Core) registered() bool { return c.self != 0 }
@@ -324,6 +327,7 @@
 	}
 	c.mir.Rev = v.From
 	c.until = v.Until
+	c.mirrorAt = c.now.Steady
 	c.begun = true
 	c.loaded = c.mir.Rev >= c.until
 	c.log(slog.LevelInfo, "records read", "jobs", len(c.mir.Jobs), "machines", len(c.mir.Machines), "revision", uint64(v.From))
@@ -358,6 +362,7 @@
 		}
 	}
 	c.mir.Rev = max(c.mir.Rev, v.News.Rev)
+	c.mirrorAt = c.now.Steady
 	if !c.loaded && c.mir.Rev >= c.until {
 		c.loaded = true
 	}
--- /dev/null
+++ b/internal/coordination/core_test.go
@@ -0,0 +1,100 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// begin brings a core to the point where it is registered and up to date.
+func begin(t *testing.T) (*Core, func(after time.Duration, in Input) []Effect) {
+	t.Helper()
+	now := Now{Steady: 1, Wall: 1e12}
+	cfg := Config{Member: "stall-0", Teams: map[string]Team{"core": {}}, Report: 2 * time.Second, Lease: 14 * time.Second,
+		Cancel: 40 * time.Second, WriteRPS: 100, TxnOps: 8, ValueBytes: 8192, Tuning: DefaultTuning()}
+	c := New(cfg, now)
+	step := func(after time.Duration, in Input) []Effect {
+		now.Steady = now.Steady.Add(after)
+		now.Wall += protocol.Millis(after.Milliseconds())
+		return c.Step(now, in)
+	}
+	step(0, Tick{})
+	step(0, GrantResult{Hold: 7})
+	step(0, LoadResult{From: 1, Until: 1})
+	step(0, CommitResult{ID: c.tx.id, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: 2}})
+	step(0, FollowResult{From: 1, News: &protocol.Followed{Rev: 2}})
+	if !c.registered() || !c.fresh() {
+		t.Fatal("the core does not begin")
+	}
+	return c, step
+}
+
+// New starts rest on a mirror that is known to be up to date. Answered calls
+// alone do not show that: the watch may stand still while a job is withdrawn.
+func TestFresh(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		calls, follow bool
+		want          bool
+	}{
+		{"all answers", true, true, true},
+		{"the watch stands still", true, false, false},
+		{"nothing answers", false, false, false},
+	} {
+		core, step := begin(t)
+		for i := 0; i < 10; i++ {
+			step(time.Second, Tick{})
+			if c.calls {
+				step(0, ExtendResult{Hold: 7})
+			} else {
+				step(0, ExtendResult{Hold: 7, Err: errOutcome})
+			}
+			if c.follow {
+				step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+			}
+		}
+		if got := core.fresh(); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A transaction without outcome is followed by a fence, and by nothing else
+// before the mirror has all that was written until then.
+func TestFenceAfterUnknownOutcome(t *testing.T) {
+	c, step := begin(t)
+	step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
+	submit := func() []Effect {
+		return step(time.Second, UserInput{Req: 1, Verb: protocol.Submit, Body: []byte(`{"uid":"j-1","lane":"l","desk":"core","shape":"batch","rank":"low",
+"pieces":1,"cores":1,"accelerators":0,"mem_gb":1,"bundle":"b","pull_gb":0,"together":false,"scatter":false,"loaners":false,"reckon_s":1,"bookmark_s":0,"stow_s":0}`)})
+	}
+	commits := func(out []Effect) (n int, keys []string) {
+		for _, e := range out {
+			if v, ok := e.(Commit); ok {
+				n++
+				for _, t := range v.Multi.Then {
+					keys = append(keys, t.Put)
+				}
+			}
+		}
+		return n, keys
+	}
+	if n, keys := commits(submit()); n != 1 || keys[0] != bk.JobKey("j-1") {
+		t.Fatalf("%d commits of %v", n, keys)
+	}
+	step(0, CommitResult{ID: c.tx.id, Outcome: bk.Unknown, Err: errOutcome})
+	step(time.Second, ExtendResult{Hold: 7})
+	if c.tx == nil || !c.tx.fence || c.tx.multi.Then[0].Put != bk.MemberKey("stall-0") || c.tx.multi.Then[0].Tenancy != 7 {
+		t.Fatalf("no fence: %+v", c.tx)
+	}
+	out := step(0, CommitResult{ID: c.tx.id, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: 9}})
+	out = append(out, submit()...)
+	if n, keys := commits(out); n != 0 {
+		t.Fatalf("%v is written before the mirror is at the fence", keys)
+	}
+	if n, _ := commits(step(0, FollowResult{From: c.mir.Rev, News: &protocol.Followed{Rev: 9}})); n != 1 {
+		t.Fatal("nothing is written behind the fence")
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -246,7 +246,7 @@
 			return coordination.LoadResult{Items: w.State.Items(bk.Prefix), From: w.State.rev, Until: w.State.rev}
 		}, coordination.LoadResult{Err: errLost})
 	case coordination.Follow:
-		w.follow(n, n.life, v.From, w.Now+8*time.Second)
+		w.follow(n, n.life, v.From, w.Now+3*time.Second)
 	case coordination.ReadRev:
 		n.call(n.NoState, wait, func() coordination.Input {
 			if w.State.Down {
