--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -219,7 +219,7 @@
 // DefaultTuning holds the values chosen by measurement; docs/operations.md says how.
 func DefaultTuning() Tuning {
 	return Tuning{
-		HoldTTL: 6 * time.Second, FlushGap: 100 * time.Millisecond, BeatHold: 700 * time.Millisecond,
+		HoldTTL: 6 * time.Second, FlushGap: 250 * time.Millisecond, BeatHold: 700 * time.Millisecond,
 		IdleHold: 2500 * time.Millisecond, WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
