--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -23,6 +23,8 @@
 // State is the state service.
 type State struct {
 	Down bool // outage: everything is answered with 503
+	Over int  // transactions refused for their size
+	Max  int  // the largest value that was written
 
 	rev    protocol.Rev
 	items  map[string]item
@@ -74,6 +76,18 @@
 	if s.Down {
 		return 503, protocol.MultiAnswer{}
 	}
+	size := 0
+	for _, t := range m.Then {
+		size += len(t.Data) + len(t.Put)
+		s.Max = max(s.Max, len(t.Data))
+		if len(t.Data) > 8192 {
+			size = 1 << 20
+		}
+	}
+	if len(m.Then) > 8 || len(m.When) > 32 || size > 64<<10 {
+		s.Over++
+		return 400, protocol.MultiAnswer{Error: "too large"}
+	}
 	for _, t := range m.Then {
 		if t.Tenancy != 0 {
 			if _, ok := s.holds[t.Tenancy]; !ok {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -170,6 +170,9 @@
 				w.Drop = 0
 				w.Run(s(150))
 				w.Rules.End()
+				if w.State.Over > 0 {
+					t.Errorf("seed %d: %d transactions too large", seed, w.State.Over)
+				}
 				if len(w.Rules.Broken) > 0 {
 					t.Errorf("seed %d: %d rules broken:\n%s", seed, len(w.Rules.Broken), strings.Join(w.Rules.Broken[:min(5, len(w.Rules.Broken))], "\n"))
 				}
@@ -335,6 +338,29 @@
 	}
 }
 
+// The largest array there may be: its records stay within the limits of the
+// state service, also when tasks end in any order, and a team with a guarantee
+// gets its place from one that borrows it.
+func TestLargeArrayAndGuarantee(t *testing.T) {
+	teams := map[string]coordination.Team{"big": {}, "sure": {Cores: 8}}
+	w := NewWorld(12, 1, testFlavors[1:], teams)
+	w.NoHire = true
+	w.Machine("large", "a", false, 0)
+	w.Machine("large", "b", false, 0)
+	d := &protocol.Job{UID: "j-1", Lane: "l", Desk: "big", Shape: protocol.Batch, Rank: "high", Pieces: protocol.MaxPieces, Cores: 0.1, MemGB: 0.1, Bundle: "b", ReckonS: 3}
+	g := &protocol.Job{UID: "j-2", Lane: "l", Desk: "sure", Shape: protocol.Group, Rank: "low", Pieces: 1, Cores: 8, MemGB: 1, Bundle: "b", ReckonS: 3}
+	w.At(2*time.Second, func() { w.Submit(d) })
+	w.Run(40 * time.Second)
+	w.Submit(g)
+	w.Run(25 * time.Second)
+	if w.State.Over > 0 || w.State.Max > 8192 || w.Rules.Started < 1000 || len(w.Rules.Broken) > 0 {
+		t.Errorf("%d transactions too large, largest value %d, %d starts, broken %v", w.State.Over, w.State.Max, w.Rules.Started, w.Rules.Broken)
+	}
+	if !w.Done["j-2"] {
+		t.Error("the team did not get its guarantee")
+	}
+}
+
 // A job of higher rank takes the place of lower ones, one of the same does not.
 func TestPreemption(t *testing.T) {
 	w := NewWorld(6, 1, testFlavors[1:], testTeams())
