--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -86,6 +86,29 @@
 	}
 }
 
+// A peer that closes its half after the request, or in the middle of one, costs
+// nothing but its own connection.
+func TestServerHalfClosed(t *testing.T) {
+	cfg := ServerConfig{Addr: freeAddr(t), MaxConns: 4, Idle: time.Minute, Slow: time.Minute}
+	startServer(t, cfg)
+	for i := 0; i < 12; i++ { // more than there may be at once: each must be given up
+		c, err := net.Dial("tcp4", cfg.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, []string{"GET /a HTTP/1.1\r\n\r\n", "POST /a HTTP/1.1\r\nContent-Le"}[i%2])
+		c.(*net.TCPConn).CloseWrite()
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.ReadAll(c); err != nil {
+			t.Fatalf("not closed: %v", err)
+		}
+		c.Close()
+	}
+	if body, _ := exchange(t, cfg.Addr, "GET /a HTTP/1.1\r\n\r\n"); body != "/a" {
+		t.Fatalf("not served any more: %q", body)
+	}
+}
+
 // Past its limit of connections the server closes new ones and goes on.
 func TestServerBoundsConnections(t *testing.T) {
 	cfg := ServerConfig{Addr: freeAddr(t), MaxConns: 3, Idle: time.Minute, Slow: time.Minute}
