--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -361,6 +361,38 @@
 	}
 }
 
+// Tasks that need accelerators go where there are some, and no more at once
+// than there are.
+func TestAccelerators(t *testing.T) {
+	flavors := append([]protocol.Flavor(nil), testFlavors[0], testFlavors[0])
+	flavors[1].Sku, flavors[1].Accelerators = "gpu", 2
+	w := NewWorld(13, 1, flavors, testTeams())
+	w.NoHire = true
+	w.Machine("small", "a", false, 0)
+	with := w.Machine("gpu", "a", false, 0)
+	d := &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "high", Pieces: 6, Cores: 0.5, Accelerators: 1, MemGB: 1, Bundle: "b", ReckonS: 4}
+	most := 0
+	w.Every(100*time.Millisecond, func() {
+		live := 0
+		for id, m := range w.Workers {
+			for _, k := range m.tasks {
+				if k.stage != protocol.Ended {
+					live++
+					if id != with {
+						t.Errorf("a task is on %s, which has no accelerators", id)
+					}
+				}
+			}
+		}
+		most = max(most, live)
+	})
+	w.At(2*time.Second, func() { w.Submit(d) })
+	w.Run(40 * time.Second)
+	if most != 2 || !w.Done["j-1"] {
+		t.Errorf("%d at once on 2 accelerators, done %v", most, w.Done["j-1"])
+	}
+}
+
 // A job of higher rank takes the place of lower ones, one of the same does not.
 func TestPreemption(t *testing.T) {
 	w := NewWorld(6, 1, testFlavors[1:], testTeams())
