Coordination read once more: dead state removed, loops replaced by the library's

No decision changes. Removed: fields nobody read, a pass over new machine records that can hold no tasks, a nil check behind which the nil was used. The bound on a transaction's size read a field that was never set; it now counts the records opened, which no site's txn_ops reaches.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -13,7 +13,6 @@
 type batch struct {
 	c        *Core
 	room     int // puts and deletes still allowed
-	size     int
 	when     map[string]protocol.Stamp
 	order    []string
 	jobs     map[protocol.JobID]*bk.JobRecord
@@ -49,7 +48,7 @@
 
 // hasRoom tells whether n more records can be changed.
 func (b *batch) hasRoom(n int) bool {
-	return b.room >= n && b.size+n*b.c.cfg.ValueBytes/4 < protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
+	return b.room >= n && (len(b.order)+n)*b.c.cfg.ValueBytes/4 < protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
 }
 
 // job gives a job's record to change; the caller has asked for room.
@@ -90,10 +89,8 @@
 
 // viewMachine is the record as the batch leaves it.
 func (b *batch) viewMachine(id protocol.MachineID) *bk.MachineRecord {
-	if b != nil {
-		if r := b.machines[id]; r != nil {
-			return r
-		}
+	if r := b.machines[id]; r != nil {
+		return r
 	}
 	if e := b.c.mir.Machines[id]; e != nil {
 		return &e.Rec
@@ -207,8 +204,7 @@
 	for _, f := range b.marks {
 		f()
 	}
-	t := &txn{multi: m, logs: b.logs}
-	c.send(t)
+	c.send(&txn{multi: m, logs: b.logs})
 }
 
 func (c *Core) spend(n int) bool { return c.tokens.AllowN(c.steady(), n) }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -35,7 +35,6 @@
 	mirrorAt  protocol.Instant // when the mirror was last known to be up to date
 	retryAt   protocol.Instant // next try of load or follow
 	stateOK   protocol.Instant // last answer of the state service
-	stateBad  protocol.Instant // last failure
 	failures  int
 
 	// This process run.
@@ -59,8 +58,8 @@
 
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
-	aborts   map[protocol.JobID]*protocol.Instant // being withdrawn
-	halts    map[protocol.JobID]protocol.Attempt  // attempts of gangs that are to stop in order
+	aborts   map[protocol.JobID]protocol.Instant // since when they are being withdrawn
+	halts    map[protocol.JobID]protocol.Attempt // attempts of gangs that are to stop in order
 	waiters  []*waiter
 	revOut   bool // a revision is being read
 	machines map[protocol.MachineID]*mstate
@@ -113,7 +112,7 @@
 func New(cfg Config, now Now) *Core {
 	c := &Core{
 		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
-		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]*protocol.Instant{},
+		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]protocol.Instant{},
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
@@ -226,7 +225,8 @@
 	c.peers[h.Member] = peer{h, c.now.Steady}
 	for _, id := range h.Seen[:min(len(h.Seen), 200)] {
 		if e := c.mir.Machines[id]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
-			c.own(e, id).handTo, c.own(e, id).handAt = h.Run, c.now.Steady
+			m := c.own(e, id)
+			m.handTo, m.handAt = h.Run, c.now.Steady
 		}
 	}
 }
@@ -244,7 +244,6 @@
 		c.log(slog.LevelWarn, "state service does not answer", "err", err.Error())
 	}
 	c.failures++
-	c.stateBad = c.now.Steady
 	return false
 }
 
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -15,7 +15,6 @@
 
 	rep         *protocol.Report // newest report
 	byTask      map[protocol.Task]*protocol.TaskReport
-	repAt       protocol.Instant
 	confirmed   protocol.Baton   // highest baton that the worker has shown
 	confirmedAt protocol.Instant // when it first did
 	beatShift   protocol.Shift   // order of the reports
@@ -60,8 +59,6 @@
 type stopOrder struct {
 	try   protocol.Attempt
 	grace float64
-	why   string
-	at    protocol.Instant
 }
 
 // jstate is what this process remembers of a job beyond its record.
@@ -133,7 +130,7 @@
 
 func (m *mstate) take(r *protocol.Report, now protocol.Instant) {
 	m.rep = r
-	m.repAt, m.heardAt = now, now
+	m.heardAt = now
 	if r.Baton > m.confirmed {
 		m.confirmed, m.confirmedAt = r.Baton, now
 	}
@@ -433,7 +430,7 @@
 	if s, ok := m.stops[t]; ok && s.try == try && s.grace <= grace {
 		return
 	}
-	m.stops[t] = stopOrder{try, grace, why, c.now.Steady}
+	m.stops[t] = stopOrder{try, grace}
 	c.log(slog.LevelInfo, "task is stopped", "task", t.String(), "attempt", uint64(try), "machine", string(m.id), "why", why)
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -1,8 +1,10 @@
 package coordination
 
 import (
+	"cmp"
 	"log/slog"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -423,9 +425,9 @@
 }
 
 // put notes n planned tasks of the job on the machine.
-func (q *queued) put(r *room, n int, try protocol.Attempt, order int) {
+func (q *queued) put(r *room, n int, try protocol.Attempt) {
 	r.take(q.rec.Desc, n)
-	r.used = append(r.used, held{q.id, try, n, q.rec.Desc, order})
+	r.used = append(r.used, held{q.id, try, n, q.rec.Desc, q.order})
 	q.zones[r.rec.Yard] += n
 	q.placed += n
 }
@@ -444,15 +446,6 @@
 			}
 		}
 	}
-	for id, r := range b.machines {
-		if c.mir.Machines[id] == nil {
-			for i := range r.Assigned {
-				if r.Assigned[i].Job == q.id {
-					have = have.Union(r.Assigned[i].Pieces)
-				}
-			}
-		}
-	}
 	return have.Gaps(q.rec.Desc.Pieces, max)
 }
 
@@ -496,7 +489,7 @@
 		} else if ours {
 			open = open[n:]
 		}
-		q.put(r, n, 0, q.order)
+		q.put(r, n, 0)
 		c.planned.busy[r.id] = true
 		left -= n
 		limit -= n
@@ -603,7 +596,7 @@
 	}
 	if !ours {
 		for _, s := range best {
-			q.put(s.r, s.n, 0, q.order)
+			q.put(s.r, s.n, 0)
 			c.planned.busy[s.r.id] = true
 		}
 		return
@@ -620,7 +613,7 @@
 			c.placed(b, q, s.r, s.n, try)
 		}
 		open = open[s.n:]
-		q.put(s.r, s.n, try, q.order)
+		q.put(s.r, s.n, try)
 		c.planned.busy[s.r.id] = true
 	}
 }
@@ -659,7 +652,7 @@
 			rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
 		}
 		c.placed(b, q, s.r, len(open), try)
-		q.put(s.r, len(open), try, q.order)
+		q.put(s.r, len(open), try)
 	}
 }
 
@@ -757,24 +750,15 @@
 				break
 			}
 			need.take(h.desc, -h.n)
-			if h.try > 0 && contains(written, s.r.id) {
+			if h.try > 0 && slices.Contains(written, s.r.id) {
 				c.preempt(s.r, h, q)
 			}
 		}
-		q.put(s.r, s.n, 0, q.order)
+		q.put(s.r, s.n, 0)
 		c.planned.busy[s.r.id] = true
 	}
 }
 
-func contains(ids []protocol.MachineID, id protocol.MachineID) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
-
 // freeable tells how many tasks of the gang fit once what ranks lower is gone.
 func (c *Core) freeable(r *room, q *queued) int {
 	if r.coming {
@@ -794,7 +778,7 @@
 	}
 	var list []*room
 	for _, r := range rooms {
-		if contains(q.rec.Room, r.id) {
+		if slices.Contains(q.rec.Room, r.id) {
 			list = append(list, r)
 		}
 	}
@@ -876,25 +860,14 @@
 // victims lists what ranks lower on a machine, least loss per core first.
 func (c *Core) victims(r *room, q *queued) []held {
 	var out []held
-	loss := map[int]float64{}
 	for _, h := range r.used {
 		if h.order > q.order {
 			out = append(out, h)
 		}
 	}
-	for i := range out {
-		loss[i] = c.lost(r, out[i]) / max(float64(out[i].n)*out[i].desc.Cores, eps)
-	}
-	idx := make([]int, len(out))
-	for i := range idx {
-		idx[i] = i
-	}
-	sort.SliceStable(idx, func(i, k int) bool { return loss[idx[i]] < loss[idx[k]] })
-	sorted := make([]held, 0, len(out))
-	for _, i := range idx {
-		sorted = append(sorted, out[i])
-	}
-	return sorted
+	loss := func(h held) float64 { return c.lost(r, h) / max(float64(h.n)*h.desc.Cores, eps) }
+	slices.SortStableFunc(out, func(a, z held) int { return cmp.Compare(loss(a), loss(z)) })
+	return out
 }
 
 // preempt stops a job's tasks on an owned machine for one of higher rank.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
@@ -141,18 +142,16 @@
 func (c *Core) onRev(v RevResult) {
 	c.revOut = false
 	ok := c.heard(v.Err)
-	kept := c.waiters[:0]
-	for _, w := range c.waiters {
-		if w.asked && w.rev == 0 {
-			if !ok {
-				c.sorry(w.req)
-				continue
-			}
-			w.rev = v.Rev
+	c.waiters = slices.DeleteFunc(c.waiters, func(w *waiter) bool {
+		if !w.asked || w.rev != 0 {
+			return false
 		}
-		kept = append(kept, w)
-	}
-	c.waiters = kept
+		if !ok {
+			c.sorry(w.req)
+		}
+		w.rev = v.Rev
+		return !ok
+	})
 }
 
 func (c *Core) onSubmit(req ReqID, j *protocol.Job) {
@@ -205,9 +204,8 @@
 }
 
 func (c *Core) wantAbort(id protocol.JobID) {
-	if c.aborts[id] == nil {
-		at := c.now.Steady
-		c.aborts[id] = &at
+	if _, ok := c.aborts[id]; !ok {
+		c.aborts[id] = c.now.Steady
 	}
 }
 
@@ -258,16 +256,7 @@
 			}
 		}
 	}
-	kept := c.waiters[:0]
-	for _, w := range c.waiters {
-		if !c.answer(w) {
-			kept = append(kept, w)
-		}
-	}
-	for i := len(kept); i < len(c.waiters); i++ {
-		c.waiters[i] = nil
-	}
-	c.waiters = kept
+	c.waiters = slices.DeleteFunc(c.waiters, c.answer)
 	c.askRev()
 	c.settleBeats()
 }
@@ -314,22 +303,17 @@
 			}
 		}
 	}
-	kept := c.waiters[:0]
-	for _, w := range c.waiters {
-		if down || c.since(w.at) > c.cfg.UserWait {
+	c.waiters = slices.DeleteFunc(c.waiters, func(w *waiter) bool {
+		late := down || c.since(w.at) > c.cfg.UserWait
+		if late {
 			c.sorry(w.req)
-			continue
 		}
-		kept = append(kept, w)
-	}
-	for i := len(kept); i < len(c.waiters); i++ {
-		c.waiters[i] = nil
-	}
-	c.waiters = kept
+		return late
+	})
 	for id, at := range c.aborts {
 		// The user is told to come back; withdrawing goes on all the same
 		// for a while, as it was asked for.
-		if c.since(*at) > 30*time.Second {
+		if c.since(at) > 30*time.Second {
 			delete(c.aborts, id)
 		}
 	}
