--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -80,6 +80,7 @@
 	if v.Verb == protocol.Submit {
 		j, err := protocol.ParseJob(v.Body)
 		if err != nil {
+			c.log(slog.LevelInfo, "submission refused", "err", err.Error(), "body", string(v.Body[:min(len(v.Body), 600)]))
 			c.reply(v.Req, 400, errorBody{err.Error()})
 			return
 		}
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -26,10 +26,13 @@
 // Shape says how the tasks of a job belong together.
 type Shape string
 
-// Shapes of jobs.
+// Shapes of jobs. PROTOCOL tells of the first two; daemon stands in the kit's
+// wire table, and `fleetbench real` submits one (docs/questions.md). Its tasks
+// are independent and meant to run until their user withdraws the job.
 const (
-	Batch Shape = "batch"
-	Group Shape = "group"
+	Batch  Shape = "batch"
+	Group  Shape = "group"
+	Daemon Shape = "daemon"
 )
 
 // Rank is a job's priority.
@@ -137,7 +140,7 @@
 		return nil, bad("lane")
 	case w.Desk == nil || *w.Desk == "" || len(*w.Desk) > 200:
 		return nil, bad("desk")
-	case w.Shape == nil || (*w.Shape != Batch && *w.Shape != Group):
+	case w.Shape == nil || (*w.Shape != Batch && *w.Shape != Group && *w.Shape != Daemon):
 		return nil, bad("shape")
 	case w.Rank == nil:
 		return nil, bad("rank")
