--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -42,7 +42,6 @@
 		Workers struct {
 			ReportS   float64 `toml:"report_s"`
 			LeaseS    float64 `toml:"lease_s"`
-			GangWaitS float64 `toml:"gang_wait_s"`
 			GangPeerS float64 `toml:"gang_peer_s"`
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
@@ -95,15 +94,13 @@
 	n := float64(len(p.Members) + 1)
 	s.core = coordination.Config{
 		Member: protocol.Member(p.Member), Teams: map[string]coordination.Team{},
-		Report: protocol.Seconds(w.ReportS), Lease: protocol.Seconds(w.LeaseS), GangWait: protocol.Seconds(w.GangWaitS),
+		Report: protocol.Seconds(w.ReportS), Lease: protocol.Seconds(w.LeaseS),
 		GangPeer: protocol.Seconds(w.GangPeerS), Cancel: protocol.Seconds(w.CancelS),
 		WriteRPS: p.Params.State.WriteRPS, TxnOps: p.Params.State.TxnOps, ValueBytes: int(p.Params.State.ValueKB * 1024),
 		ListLag: protocol.Seconds(p.Params.Cloud.ListLagS), Seed: h.Sum64() ^ uint64(time.Now().UnixNano()),
 		FollowGap: time.Duration(n / (0.4 * s.stateRPS) * float64(time.Second)), Tuning: tuning,
 	}
-	s.core.Members = append(s.core.Members, protocol.Member(p.Member))
 	for _, m := range p.Members {
-		s.core.Members = append(s.core.Members, protocol.Member(m.Member))
 		s.peers = append(s.peers, m.Addr)
 	}
 	for _, t := range p.Params.Teams {
@@ -144,7 +141,7 @@
 		min, max float64
 	}{
 		{"params.workers.report_s", w.ReportS, 0.01, 3600}, {"params.workers.lease_s", w.LeaseS, 0.1, 86400},
-		{"params.workers.gang_wait_s", w.GangWaitS, 0, 86400}, {"params.workers.gang_peer_s", w.GangPeerS, 0, 86400},
+		{"params.workers.gang_peer_s", w.GangPeerS, 0, 86400},
 		{"params.workers.cancel_s", w.CancelS, 0.1, 86400},
 		{"params.state.rps", st.RPS, 1, 1e6}, {"params.state.write_rps", st.WriteRPS, 1, 1e6},
 		{"params.state.value_kb", st.ValueKB, 2, 1024}, {"params.state.txn_ops", float64(st.TxnOps), 2, 10000},
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -93,7 +93,6 @@
 	assignedAt map[assignment]protocol.Instant
 	fleetAt    protocol.Instant
 	tickAt     protocol.Instant
-	started    protocol.Instant
 }
 
 type peer struct {
@@ -118,7 +117,6 @@
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]protocol.Instant{}, deadAt: map[bk.Run]protocol.Instant{},
-		started: now.Steady,
 	}
 	burst := max(int(cfg.WriteRPS*cfg.WriteShare), 2*cfg.TxnOps, 4)
 	c.tokens = rate.NewLimiter(rate.Limit(cfg.WriteRPS*cfg.WriteShare), burst)
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -177,17 +177,16 @@
 
 // Config is what the platform and the operator set.
 type Config struct {
-	Member  protocol.Member
-	Members []protocol.Member // all, this one included
-	Teams   map[string]Team
+	Member protocol.Member
+	Teams  map[string]Team
 
-	Report, Lease, GangWait, GangPeer, Cancel time.Duration
-	WriteRPS                                  float64
-	TxnOps                                    int
-	ValueBytes                                int
-	ListLag                                   time.Duration
-	FollowGap                                 time.Duration
-	Seed                                      uint64
+	Report, Lease, GangPeer, Cancel time.Duration
+	WriteRPS                        float64
+	TxnOps                          int
+	ValueBytes                      int
+	ListLag                         time.Duration
+	FollowGap                       time.Duration
+	Seed                            uint64
 
 	Tuning
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -69,7 +69,7 @@
 	next, end protocol.Attempt // attempts set aside for this claim
 	claim     bk.Run
 	failedOn  map[protocol.MachineID]bool
-	failures  int
+	given     int // tasks placed so far, each time counted
 	notBefore protocol.Instant
 	brokenAt  protocol.Instant
 	withdrawn protocol.Instant
@@ -690,9 +690,9 @@
 	}
 	m.errJobs[id] = true
 	m.restUntil = c.now.Steady.Add(20 * time.Second)
-	if len(m.errJobs) >= 2 {
+	if len(m.errJobs) >= 2 && !m.faulty {
 		m.faulty = true
-		c.log(slog.LevelWarn, "machine is faulty and goes back", "machine", string(m.id))
+		c.log(slog.LevelWarn, "machine is faulty", "machine", string(m.id))
 	}
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -545,6 +545,11 @@
 	j := c.jstate(q.id)
 	b.marks = append(b.marks, func() {
 		j.next = max(j.next, try+1)
+		// A job whose tasks come back again and again is tried ever less often:
+		// it may fail everywhere until its user cancels it.
+		if j.given += n; j.given >= 4*d.Pieces {
+			j.notBefore = c.now.Steady.Add(min(time.Duration(j.given/d.Pieces-3)*5*time.Second, 30*time.Second))
+		}
 		c.noteImage(r.id, r.fl, d)
 	})
 	b.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	Zone    protocol.Zone
 	Loaner  bool
 	Gone    bool
+	Faulty  bool // every task fails here
 	Cut     bool // reaches no controller
 	shift   protocol.Shift
 	tally   protocol.Tally
@@ -131,7 +132,11 @@
 		case protocol.Gathering:
 			m.end(t, k, "alone")
 		case protocol.TaskRunning:
-			m.end(t, k, protocol.CauseDone)
+			if m.Faulty || d.Lane == "bad" {
+				m.end(t, k, protocol.CauseError)
+			} else {
+				m.end(t, k, protocol.CauseDone)
+			}
 		case protocol.Flushing:
 			k.saved = true
 			m.w.Saved[d.UID]++
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -291,6 +291,50 @@
 	}
 }
 
+// A machine on which the tasks of two jobs fail goes back; a job that fails
+// everywhere takes no machines with it and is tried ever less often.
+func TestFaults(t *testing.T) {
+	job := func(id protocol.JobID, lane string) *protocol.Job {
+		return &protocol.Job{UID: id, Lane: lane, Desk: "core", Shape: protocol.Batch, Rank: "standard", Pieces: 4, Cores: 2, MemGB: 1, Bundle: "b", ReckonS: 2}
+	}
+	for _, c := range []struct {
+		name   string
+		faulty bool
+		lanes  []string
+		gone   int // machines that go back as faulty
+		starts int // no more than these
+	}{
+		{"faulty machine", true, []string{"l", "l", "l", "l"}, 1, 60},
+		{"job that fails everywhere", false, []string{"l", "bad"}, 0, 60},
+	} {
+		w := NewWorld(9, 1, testFlavors[:1], testTeams())
+		w.NoHire = true
+		w.Config.IdleFactor = 100 // no machine goes back for being idle
+		w.Nodes[0].Start()
+		ids := []protocol.MachineID{w.Machine("small", "a", false, 0), w.Machine("small", "a", false, 0), w.Machine("small", "a", false, 0)}
+		w.Workers[ids[0]].Faulty = c.faulty
+		faulty := 0
+		w.Trace = func(l string) {
+			if strings.Contains(l, "machine goes back") && strings.Contains(l, "faulty") {
+				faulty++
+			}
+		}
+		for i, l := range c.lanes {
+			w.At(time.Duration(3+25*i)*time.Second, func() { w.Submit(job(protocol.JobID(fmt.Sprintf("j-%d", i)), l)) })
+		}
+		w.Run(150 * time.Second)
+		w.Rules.End()
+		if faulty != c.gone || w.Rules.Started > c.starts || len(w.Rules.Broken) > 0 {
+			t.Errorf("%s: %d went back, %d starts, broken %v", c.name, faulty, w.Rules.Started, w.Rules.Broken)
+		}
+		for i, l := range c.lanes {
+			if l == "l" && !w.Done[protocol.JobID(fmt.Sprintf("j-%d", i))] {
+				t.Errorf("%s: j-%d is not done", c.name, i)
+			}
+		}
+	}
+}
+
 // A job of higher rank takes the place of lower ones, one of the same does not.
 func TestPreemption(t *testing.T) {
 	w := NewWorld(6, 1, testFlavors[1:], testTeams())
