--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -25,7 +25,7 @@
 // Page is a page of machines as the mirror has it.
 type Page struct {
 	Owner    Run
-	Baton    protocol.Baton
+	Epoch    Epoch
 	Stamp    protocol.Stamp
 	Size     int
 	Machines []protocol.MachineID // as written
@@ -147,7 +147,7 @@
 	if err := json.Unmarshal(data, &f); err != nil {
 		return err
 	}
-	p := &Page{Owner: f.Owner, Baton: f.Baton, Stamp: stamp, Size: len(data)}
+	p := &Page{Owner: f.Owner, Epoch: f.Epoch, Stamp: stamp, Size: len(data)}
 	recs := make([]MachineRecord, len(f.Machines))
 	for i, line := range f.Machines {
 		mid, _, _ := strings.Cut(line, " ")
@@ -170,7 +170,7 @@
 			continue // it has moved to another page since
 		}
 		r := recs[i]
-		r.Page, r.Owner, r.Baton = id, p.Owner, p.Baton
+		r.Page, r.Owner, r.Epoch, r.Baton = id, p.Owner, p.Epoch, p.Epoch.Baton(r.Bump)
 		m.set(mid, &r, f.Machines[i])
 	}
 	if old != nil {
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -13,22 +13,39 @@
 // PageID names a page: "stall-0#7-3".
 type PageID string
 
+// Epoch counts the owners of a page. It is the high part of the batons of all its
+// machines, so that one change of the page fences off all earlier owners.
+type Epoch uint64
+
+// The low part of a baton is the machine's own: a worker reports at once when
+// its baton rises, so a machine that is to start something soon gets a higher one.
+const bumpBits = 20
+
+// MaxBump is the most that the low part holds.
+const MaxBump = 1<<bumpBits - 1
+
+// Baton is the token of a machine in this epoch.
+func (e Epoch) Baton(bump uint64) protocol.Baton { return protocol.Baton(uint64(e)<<bumpBits | bump) }
+
+// EpochOf is the epoch that a baton belongs to.
+func EpochOf(b protocol.Baton) Epoch { return Epoch(b >> bumpBits) }
+
 // Machines are kept on pages, many to a key: where a thousand of them stand
 // against 40 changes a second, a change for each would be the whole budget.
 // One run owns all machines of a page, under one baton, so that a takeover is
 // one change however many machines there are.
 type pageForm struct {
-	Owner    Run            `json:"o"`
-	Baton    protocol.Baton `json:"b"`
-	Machines []string       `json:"m"` // a line each, see Line
+	Owner    Run      `json:"o"`
+	Epoch    Epoch    `json:"b"`
+	Machines []string `json:"m"` // a line each, see Line
 	// Tasks that are done and that their jobs' records do not have yet: while
 	// an array runs, its own record need not be written with every page.
 	Done map[protocol.JobID]Ranges `json:"d,omitempty"`
 }
 
 // EncodePage gives a page's written form.
-func EncodePage(owner Run, baton protocol.Baton, lines []string, done map[protocol.JobID]Ranges) json.RawMessage {
-	return JSON(pageForm{owner, baton, lines, done})
+func EncodePage(owner Run, epoch Epoch, lines []string, done map[protocol.JobID]Ranges) json.RawMessage {
+	return JSON(pageForm{owner, epoch, lines, done})
 }
 
 // Line gives a machine's written form: fields with a blank between them.
@@ -43,9 +60,13 @@
 			flags += f.name
 		}
 	}
+	shift := strconv.FormatUint(uint64(m.Shift), 10)
+	if m.Bump > 0 {
+		shift += "+" + strconv.FormatUint(m.Bump, 10)
+	}
 	b.WriteString(string(id))
 	for _, s := range [...]string{url.QueryEscape(m.Addr), url.QueryEscape(string(m.Build)), url.QueryEscape(string(m.Yard)),
-		strconv.FormatInt(int64(m.Since), 36), strconv.FormatUint(uint64(m.Shift), 10), flags} {
+		strconv.FormatInt(int64(m.Since), 36), shift, flags} {
 		b.WriteByte(' ')
 		if s == "" {
 			s = "-"
@@ -72,12 +93,17 @@
 		}
 	}
 	since, err1 := strconv.ParseInt(f[4], 36, 64)
-	shift, err2 := strconv.ParseUint(f[5], 10, 64)
+	session, nth, bumped := strings.Cut(f[5], "+")
+	shift, err2 := strconv.ParseUint(session, 10, 64)
+	bump := uint64(0)
+	if bumped && err2 == nil {
+		bump, err2 = strconv.ParseUint(nth, 10, bumpBits)
+	}
 	id = protocol.MachineID(f[0])
 	if err != nil || err1 != nil || err2 != nil || !id.Valid() {
 		return "", m, fmt.Errorf("malformed machine %q", line)
 	}
-	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Shift: protocol.Shift(shift),
+	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Shift: protocol.Shift(shift), Bump: bump,
 		Loaner: strings.Contains(f[6], "l"), Releasing: strings.Contains(f[6], "r"), Drain: strings.Contains(f[6], "x")}
 	for _, s := range f[7:] {
 		p := strings.Split(s, ".")
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -76,7 +76,9 @@
 type MachineRecord struct {
 	Page      PageID
 	Owner     Run
-	Baton     protocol.Baton
+	Epoch     Epoch          // of the page
+	Bump      uint64         // counts what its worker was to report at once for
+	Baton     protocol.Baton // both together
 	Shift     protocol.Shift // 0: has not reported yet
 	Assigned  []Assigned
 	Addr      string
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -104,10 +104,10 @@
 func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
 	if !m.owed || r.Shift != m.owedShift {
 		// A session that ended although its reports were answered says the same.
-		if m.owedShift != 0 && r.Shift > m.owedShift && m.baton == e.Rec.Baton && c.since(m.answered) < c.cfg.Lease {
+		if m.owedShift != 0 && r.Shift > m.owedShift && bk.EpochOf(m.baton) == e.Rec.Epoch && c.since(m.answered) < c.cfg.Lease {
 			m.unheard++
 		}
-	} else if r.Baton < e.Rec.Baton || !m.showsStarts(r) {
+	} else if r.Baton < m.baton || !m.showsStarts(r) {
 		m.unheard++
 	} else {
 		m.unheard = 0
@@ -152,9 +152,9 @@
 		return c.holdIdle(e, m)
 	}
 	if r.Shift != e.Rec.Shift {
-		return r.Baton == e.Rec.Baton || e.Rec.Shift == 0
+		return bk.EpochOf(r.Baton) == e.Rec.Epoch || e.Rec.Shift == 0
 	}
-	if r.Baton != e.Rec.Baton {
+	if bk.EpochOf(r.Baton) != e.Rec.Epoch {
 		return false
 	}
 	for i := range r.Pieces {
@@ -174,7 +174,7 @@
 // run there it waits only where reports are so far apart that it pays.
 func (c *Core) holdIdle(e *bk.Machine, m *mstate) bool {
 	r, rec := m.rep, &e.Rec
-	if c.since(m.heldAt) >= c.cfg.IdleHold || !c.fresh() || r.Baton != rec.Baton || r.Shift != rec.Shift || r.RecallS != nil ||
+	if c.since(m.heldAt) >= c.cfg.IdleHold || !c.fresh() || bk.EpochOf(r.Baton) != rec.Epoch || r.Shift != rec.Shift || r.RecallS != nil ||
 		rec.Releasing || rec.Drain {
 		return false
 	}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -30,7 +30,7 @@
 // draft is a page as the batch leaves it.
 type draft struct {
 	owner bk.Run
-	baton protocol.Baton
+	epoch bk.Epoch
 	ids   []protocol.MachineID
 	done  map[protocol.JobID]bk.Ranges
 	size  int
@@ -76,7 +76,7 @@
 		return d
 	}
 	p := b.c.mir.Pages[id]
-	d := &draft{owner: p.Owner, baton: p.Baton, ids: p.Machines, size: p.Size, done: map[protocol.JobID]bk.Ranges{}}
+	d := &draft{owner: p.Owner, epoch: p.Epoch, ids: p.Machines, size: p.Size, done: map[protocol.JobID]bk.Ranges{}}
 	for j, r := range p.Done {
 		if e := b.c.mir.Jobs[j]; e == nil || !e.Rec.Stage.Final() {
 			d.done[j] = r
@@ -88,11 +88,11 @@
 }
 
 // newPage begins a page that is not on record yet.
-func (b *batch) newPage(owner bk.Run, baton protocol.Baton) bk.PageID {
+func (b *batch) newPage(owner bk.Run, epoch bk.Epoch) bk.PageID {
 	b.c.pageSeq++
 	id := bk.PageID(fmt.Sprintf("%s-%d", b.c.run, b.c.pageSeq))
 	b.open(bk.PageKey(id), pageSlack)
-	b.pages[id] = &draft{owner: owner, baton: baton, done: map[protocol.JobID]bk.Ranges{}}
+	b.pages[id] = &draft{owner: owner, epoch: epoch, done: map[protocol.JobID]bk.Ranges{}}
 	return id
 }
 
@@ -120,7 +120,7 @@
 	size := b.c.lineSize(r.Build)
 	page := bk.PageID("")
 	fits := func(p bk.PageID, d *draft) bool {
-		return d.owner == b.c.run && d.baton > above && b.pageLoad(d.ids)+size <= b.c.cfg.ValueBytes
+		return d.owner == b.c.run && d.epoch > bk.EpochOf(above) && b.pageLoad(d.ids)+size <= b.c.cfg.ValueBytes
 	}
 	for _, p := range sorted(b.pages) {
 		if fits(p, b.pages[p]) {
@@ -131,14 +131,14 @@
 	if page == "" {
 		for _, p := range b.c.ownPages() {
 			e := b.c.mir.Pages[p]
-			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, baton: e.Baton, ids: e.Machines}) {
+			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, epoch: e.Epoch, ids: e.Machines}) {
 				page = p
 				break
 			}
 		}
 	}
 	if page == "" {
-		page = b.newPage(b.c.run, max(above+1, 1))
+		page = b.newPage(b.c.run, max(bk.EpochOf(above)+1, 1))
 	}
 	b.put(page, id, r)
 }
@@ -148,7 +148,7 @@
 	d.ids = append(d.ids[:len(d.ids):len(d.ids)], id)
 	d.size += len(r.Line(id)) + 3
 	b.bytes += len(r.Line(id)) + 3
-	r.Page, r.Owner, r.Baton = page, d.owner, d.baton
+	r.Page, r.Owner, r.Epoch, r.Baton = page, d.owner, d.epoch, d.epoch.Baton(r.Bump)
 	b.machines[id] = r
 }
 
@@ -187,6 +187,15 @@
 	b.bytes += 24 + 3*len(pieces)
 }
 
+// nudge raises the machine's own part of its baton: its owner sends it to the
+// worker, and the worker reports at once, instead of some seconds later.
+func (b *batch) nudge(id protocol.MachineID) {
+	if r := b.machine(id); r.Bump < bk.MaxBump {
+		r.Bump++
+		r.Baton = r.Epoch.Baton(r.Bump)
+	}
+}
+
 // roomy tells whether the machine's page can take more assignments: a page
 // stays well within a value, so that whatever ends there can be written.
 func (b *batch) roomy(r *bk.MachineRecord) bool {
@@ -358,7 +367,7 @@
 				lines[i] = b.c.mir.Line(x)
 			}
 		}
-		m.Then = append(m.Then, protocol.Then{Put: bk.PageKey(id), Data: bk.EncodePage(d.owner, d.baton, lines, d.done)})
+		m.Then = append(m.Then, protocol.Then{Put: bk.PageKey(id), Data: bk.EncodePage(d.owner, d.epoch, lines, d.done)})
 	}
 	if b.roll {
 		m.Then = append(m.Then, protocol.Then{Put: bk.RollKey, Data: bk.JSON(bk.RollRecord{By: b.c.run})})
@@ -402,7 +411,7 @@
 			continue
 		}
 		b.page(id)
-		to := b.newPage(p.Owner, p.Baton)
+		to := b.newPage(p.Owner, p.Epoch)
 		for _, m := range p.Machines[len(p.Machines)/2:] {
 			b.move(m, to)
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -52,7 +52,7 @@
 	handTo    bk.Run // a run to which the worker reports instead
 	handAt    protocol.Instant
 	ownedRun  bk.Run
-	ownedBat  protocol.Baton
+	ownedIn   bk.Epoch
 }
 
 type image struct {
@@ -113,8 +113,8 @@
 // owner was told proves nothing under a new baton.
 func (c *Core) own(e *bk.Machine, id protocol.MachineID) *mstate {
 	m := c.mstate(id)
-	if m.ownedRun != e.Rec.Owner || m.ownedBat != e.Rec.Baton {
-		m.ownedRun, m.ownedBat = e.Rec.Owner, e.Rec.Baton
+	if m.ownedRun != e.Rec.Owner || m.ownedIn != e.Rec.Epoch {
+		m.ownedRun, m.ownedIn = e.Rec.Owner, e.Rec.Epoch
 		m.clear()
 		m.answered, m.baton = 0, 0
 		m.heardAt = c.now.Steady
@@ -128,7 +128,7 @@
 // proven is the newest report if it was sent under the current baton and in
 // the recorded session: only then does what it lacks prove anything.
 func (m *mstate) proven(r *bk.MachineRecord) *protocol.Report {
-	if m.rep == nil || m.rep.Baton != r.Baton || m.rep.Shift != r.Shift {
+	if m.rep == nil || bk.EpochOf(m.rep.Baton) != r.Epoch || m.rep.Shift != r.Shift {
 		return nil
 	}
 	return m.rep
@@ -137,9 +137,10 @@
 func (m *mstate) take(r *protocol.Report, now protocol.Instant) {
 	m.rep = r
 	m.heardAt = now
-	if r.Baton > m.confirmed {
-		m.confirmed, m.confirmedAt = r.Baton, now
+	if bk.EpochOf(r.Baton) > bk.EpochOf(m.confirmed) {
+		m.confirmedAt = now
 	}
+	m.confirmed = max(m.confirmed, r.Baton)
 	m.byTask = make(map[protocol.Task]*protocol.TaskReport, len(r.Pieces))
 	for i := range r.Pieces {
 		p := &r.Pieces[i]
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -686,6 +686,7 @@
 	for _, s := range best {
 		if c.writable(b, s.r, d) {
 			b.assign(s.r.id, q.id, open[:s.n], try)
+			c.hurry(b, s.r.id)
 			c.placed(b, q, s.r, s.n, try)
 		}
 		open = open[s.n:]
@@ -716,11 +717,21 @@
 		}
 		open := c.openTasks(b, q, s.n)
 		b.assign(s.r.id, q.id, open, try)
+		c.hurry(b, s.r.id)
 		c.placed(b, q, s.r, len(open), try)
 		q.put(s.r, len(open), try)
 	}
 }
 
+// hurry makes the machine's worker report as soon as the placement is on record.
+// A gang waits for the last of its machines: with reports some seconds apart
+// that is nearly a whole interval each time.
+func (c *Core) hurry(b *batch, id protocol.MachineID) {
+	if c.cfg.Report >= 4*time.Second {
+		b.nudge(id)
+	}
+}
+
 type share struct {
 	r *room
 	n int
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -64,9 +64,9 @@
 	if d.owner == c.run {
 		return
 	}
-	b.log(slog.LevelInfo, "page taken over", "page", string(id), "machines", len(d.ids), "from", string(d.owner), "baton", uint64(d.baton+1))
+	b.log(slog.LevelInfo, "page taken over", "page", string(id), "machines", len(d.ids), "from", string(d.owner), "epoch", uint64(d.epoch+1))
 	d.owner = c.run
-	d.baton = max(d.baton, above) + 1
+	d.epoch = max(d.epoch, bk.EpochOf(above)) + 1
 }
 
 // writeMachines brings the records of owned machines in line with what their
@@ -103,9 +103,9 @@
 			continue
 		}
 		if to[m.handTo] == "" {
-			to[m.handTo] = b.newPage(m.handTo, e.Rec.Baton+1)
+			to[m.handTo] = b.newPage(m.handTo, e.Rec.Epoch+1)
 		}
-		if page := to[m.handTo]; b.pages[page].baton > e.Rec.Baton {
+		if page := to[m.handTo]; b.pages[page].epoch > e.Rec.Epoch {
 			b.move(id, page)
 			b.machines[id].Drain = false
 			b.log(slog.LevelInfo, "machine handed over, its worker reports there", "machine", string(id), "to", string(m.handTo))
@@ -124,12 +124,12 @@
 // baton was confirmed by the worker, so only this run's answers counted, and
 // the last of them answered a report sent no later than it was received.
 func (c *Core) surelyExpired(m *mstate, r *bk.MachineRecord) bool {
-	if m.confirmed != r.Baton || m.rep == nil {
+	if bk.EpochOf(m.confirmed) != r.Epoch || m.rep == nil {
 		return false
 	}
 	// Before it showed this baton, an earlier owner may have renewed its lease.
 	last := m.confirmedAt
-	if m.baton == r.Baton {
+	if bk.EpochOf(m.baton) == r.Epoch {
 		last = max(last, m.answered)
 	}
 	// Steady clocks drift by up to 0.05% each; the rest is margin.
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -40,7 +40,8 @@
 		m := c.own(e, id)
 		c.tickStops(e, m)
 		c.tickRelease(e, m, cutOff)
-		if e.Rec.Shift > 0 && (m.confirmed < e.Rec.Baton && c.since(m.heardAt) > 500*time.Millisecond || m.deaf()) {
+		if newer := m.confirmed < e.Rec.Baton; e.Rec.Shift > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
+			newer && c.since(m.heardAt) > 500*time.Millisecond || m.deaf()) {
 			// The worker may still report to an owner that was cut off: the
 			// higher baton makes that one's answers worthless. A deaf worker
 			// is asked whether it hears again.
