--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -320,7 +320,9 @@
 			if try, ok := m.barred[t]; ok && try >= a.Try {
 				return true
 			}
-			if _, ok := m.stops[t]; ok {
+			// A stop of an earlier attempt, which may have ended unseen with its
+			// session, does not hold back the next one.
+			if s, ok := m.stops[t]; ok && s.try >= a.Try {
 				return true
 			}
 			out = append(out, protocol.Order{Verb: protocol.Start, Task: t, Try: a.Try})
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -98,3 +98,64 @@
 		t.Fatal("nothing is written behind the fence")
 	}
 }
+
+// own gives the core a page with one machine, and the state of that machine.
+func own(t *testing.T, c *Core, rec bk.MachineRecord) (*bk.Machine, *mstate) {
+	t.Helper()
+	key := bk.PageKey("p")
+	if _, err := c.mir.Put(key, bk.EncodePage(c.run, 3, []string{rec.Line("m-1")}, nil), c.mir.Stamp(key)+1); err != nil {
+		t.Fatal(err)
+	}
+	e := c.mir.Machines["m-1"]
+	return e, c.own(e, "m-1")
+}
+
+func report(e *bk.Machine, tally protocol.Tally, pieces ...protocol.TaskReport) *protocol.Report {
+	return &protocol.Report{Stall: "m-1", Addr: "a", Build: "s", Yard: "a", Shift: e.Rec.Shift, Tally: tally, Baton: e.Rec.Baton, Pieces: pieces}
+}
+
+// What keeps an assigned task from being started: a stop or a requeue of this
+// attempt, not of an earlier one. (A stop whose task ended with its session once
+// held back the task's next attempt on that machine for ever.)
+func TestStartsHeldBack(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		stop, barred protocol.Attempt
+		deaf, want   bool
+	}{
+		{"nothing", 0, 0, false, true},
+		{"stop of an earlier attempt", 4, 0, false, true},
+		{"stop of this attempt", 5, 0, false, false},
+		{"earlier attempt taken back", 0, 4, false, true},
+		{"this attempt taken back", 0, 5, false, false},
+		{"answers do not reach the worker", 0, 0, true, false},
+	} {
+		core, _ := begin(t)
+		if _, err := core.mir.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":1,"cores":1}}`), 2); err != nil {
+			t.Fatal(err)
+		}
+		task := protocol.Task{Job: "j-1"}
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+		rec.Assign(task, 5)
+		e, m := own(t, core, rec)
+		m.take(report(e, 1), core.now.Steady)
+		if c.stop > 0 {
+			m.stops[task] = stopOrder{try: c.stop}
+		}
+		if c.barred > 0 {
+			m.barred[task] = c.barred
+		}
+		if c.deaf {
+			m.deafAt = core.now.Steady
+		}
+		starts := 0
+		for _, o := range core.orders(e, m, true) {
+			if o.Verb == protocol.Start && o.Try == 5 {
+				starts++
+			}
+		}
+		if (starts == 1) != c.want {
+			t.Errorf("%s: %d starts", c.name, starts)
+		}
+	}
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -329,6 +329,7 @@
 	type sum struct {
 		up, coming  int
 		margin      int
+		closed      int
 		cores, used float64
 	}
 	sums := map[poolKey]*sum{}
@@ -345,6 +346,9 @@
 		if r.margin {
 			sums[k].margin++
 		}
+		if r.closed {
+			sums[k].closed++
+		}
 		sums[k].cores += r.fl.Cores
 		sums[k].used += r.fl.Cores - r.cores
 	}
@@ -352,7 +356,7 @@
 		c.log(slog.LevelDebug, "spot rule", "type", string(k.sku), "zone", string(k.yard), "price", t.price, "threshold", t.value, "open", t.Open())
 	}
 	for k, s := range sums {
-		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used, "margin", s.margin)
+		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used, "margin", s.margin, "closed", s.closed)
 	}
 }
 
@@ -649,6 +653,19 @@
 			best = s
 		}
 	}
+	// To stop what ranks lower is quicker than to wait for a machine that boots,
+	// or for an image where others have it.
+	if kept := c.roomKept(q, rooms, left); kept != nil {
+		best = kept // once it is empty
+		for _, s := range kept {
+			if s.r.fits(d) < s.n {
+				best = nil
+			}
+		}
+	} else if best != nil && (c.slow(best, d, true) && c.cheapestRoom(q, rooms, zones, left, true) != nil ||
+		c.slow(best, d, false) && c.cheapestRoom(q, rooms, zones, left, false) != nil) {
+		best = nil
+	}
 	if best == nil {
 		c.makeRoom(b, q, rooms, zones, left)
 		return
@@ -798,6 +815,15 @@
 	return out
 }
 
+// slow tells whether a gang would wait on these machines: for one that boots,
+// or, if images count, for an image that takes longer than to make room elsewhere.
+func (c *Core) slow(list []share, d *protocol.Job, images bool) bool {
+	const roomMade = 6 // seconds that it takes to stop what runs, and to write it
+	return slices.ContainsFunc(list, func(s share) bool {
+		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.PullGB/s.r.fl.FetchGBPerS > roomMade && !c.machines[s.r.id].hasImage(d.Bundle)
+	})
+}
+
 // makeRoom keeps machines for a gang that fits nowhere, while their owners stop
 // what ranks lower there. The job's claimant chooses them and writes its choice
 // down: if every owner chose for itself, two could make room for one gang.
@@ -814,7 +840,9 @@
 		}
 	}
 	if got == nil && ours {
-		got = c.cheapestRoom(q, rooms, zones, n)
+		if got = c.cheapestRoom(q, rooms, zones, n, true); got == nil {
+			got = c.cheapestRoom(q, rooms, zones, n, false)
+		}
 		if got == nil {
 			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
 		} else if b.hasRoom(b.needs("", q.id)) {
@@ -948,11 +976,12 @@
 }
 
 // cheapestRoom chooses the machines on which the least work is lost.
-func (c *Core) cheapestRoom(q *queued, rooms []*room, zones []protocol.Zone, n int) []share {
+// warm: only of those that have the image.
+func (c *Core) cheapestRoom(q *queued, rooms []*room, zones []protocol.Zone, n int, warm bool) []share {
 	cost := map[*room]float64{}
 	var list []*room
 	for _, r := range rooms {
-		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) {
+		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) && (!warm || c.machines[r.id].hasImage(q.rec.Desc.Bundle)) {
 			list = append(list, r)
 		}
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -192,7 +192,9 @@
 func (c *Core) takeBackAll(b *batch, m *mstate, r *bk.MachineRecord, why string) {
 	for _, a := range r.Assigned {
 		a.Pieces.Each(func(n int) bool {
-			m.barred[protocol.Task{Job: a.Job, Piece: n}] = a.Try
+			t := protocol.Task{Job: a.Job, Piece: n}
+			m.barred[t] = a.Try
+			b.marks = append(b.marks, func() { delete(m.stops, t) })
 			return true
 		})
 		b.log(slog.LevelInfo, "tasks requeued", "machine", string(m.id), "job", string(a.Job), "tasks", a.Pieces.String(), "why", why)
