--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -8,6 +8,21 @@
 	"tillerarch/internal/protocol"
 )
 
+// stray notes a report of a machine that another run owns. If its worker answers
+// here, its owner is told: the way between those two may be broken. (A worker
+// that answers nobody, or a late copy, is no reason to hand anything over.)
+func (c *Core) stray(r *protocol.Report) {
+	s, ok := c.strayed[r.Stall]
+	if ok && (r.Shift < s.shift || r.Shift == s.shift && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
+		return
+	}
+	if c.doing < maxDoing {
+		c.strayed[r.Stall] = stray{at: c.now.Steady, shift: r.Shift, tally: r.Tally}
+		c.doing++
+		c.emit(SendShow{r.Stall, r.Addr})
+	}
+}
+
 func (c *Core) redirect(req ReqID, to protocol.Member) {
 	c.reply(req, 421, protocol.Foreman{Foreman: to})
 }
@@ -27,7 +42,7 @@
 	if e == nil || !c.mine(&e.Rec) {
 		switch {
 		case e != nil && c.mir.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
-			c.strayed[r.Stall] = stray{c.now.Steady, r.Shift, r.Tally}
+			c.stray(r)
 			c.redirect(v.Req, e.Rec.Owner.Member())
 		case c.stateDown() || !c.registered():
 			c.redirect(v.Req, "")
@@ -99,27 +114,31 @@
 	}
 }
 
-// heed notices a worker whose reports arrive while answers do not reach it: it
-// does not show the baton, nor the starts, that earlier answers had.
+// heed notices a worker whose reports arrive while answers may not reach it: it
+// does not show the baton, nor the starts, that the last answer had, or its
+// session has ended. Whether it hears is then asked directly.
 func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
-	if !m.owed || r.Shift != m.owedShift {
-		// A session that ended although its reports were answered says the same.
-		if m.owedShift != 0 && r.Shift > m.owedShift && bk.EpochOf(m.baton) == e.Rec.Epoch && c.since(m.answered) < c.cfg.Lease {
-			m.unheard++
-		}
-	} else if r.Baton < m.baton || !m.showsStarts(r) {
-		m.unheard++
-	} else {
-		m.unheard = 0
+	switch {
+	case r.Shift > m.owedShift && m.owedShift != 0, m.owed && (r.Baton < m.baton || !m.showsStarts(r)):
+		c.doubt(m)
+	case m.owed:
+		c.hears(m)
 	}
 	m.owed, m.owedShift = false, r.Shift
-	if m.unheard >= 2 && m.deafAt == 0 {
-		m.deafAt = c.now.Steady
-		c.log(slog.LevelWarn, "answers do not reach the machine", "machine", string(m.id), "answers", m.unheard)
+}
+
+func (c *Core) doubt(m *mstate) {
+	if m.doubtAt == 0 {
+		m.doubtAt = c.now.Steady
 	}
-	if m.unheard == 0 {
-		m.deafAt = 0
+}
+
+// hears notes that something that was sent to the worker has arrived.
+func (c *Core) hears(m *mstate) {
+	if m.deafAt != 0 {
+		c.log(slog.LevelInfo, "the machine hears again", "machine", string(m.id))
 	}
+	m.doubtAt, m.fails, m.deafAt = 0, 0, 0
 }
 
 // showsStarts tells whether the report shows any start that was on its way.
@@ -138,6 +157,11 @@
 // deaf tells whether what is sent to the worker is known not to arrive.
 func (m *mstate) deaf() bool { return m.deafAt != 0 }
 
+// doubted tells whether it has been unsure for a while that the worker hears.
+func (c *Core) doubted(m *mstate) bool {
+	return m.doubtAt != 0 && c.since(m.doubtAt) > 3*time.Second
+}
+
 // holdBeat tells whether the answer should wait a moment for a write, so that
 // it can carry the starts that take the place of what has ended.
 func (c *Core) holdBeat(e *bk.Machine, m *mstate) bool {
@@ -353,16 +377,18 @@
 // onDo takes the report that answers a direct command.
 func (c *Core) onDo(v DoResult) {
 	c.doing--
+	ok := v.Err == nil && v.Report != nil && v.Report.Stall == v.Machine
+	if s, is := c.strayed[v.Machine]; is && ok {
+		s.shown = true
+		c.strayed[v.Machine] = s
+	}
 	m := c.machines[v.Machine]
 	if m == nil {
 		return
 	}
 	m.doOut = false
 	e := c.mir.Machines[v.Machine]
-	if v.Err != nil || v.Report == nil || v.Report.Stall != v.Machine {
-		return
-	}
-	if e == nil && m.adopt {
+	if e == nil && m.adopt && ok {
 		if !older(v.Report, m.beatShift, m.beatTally) {
 			m.take(v.Report, c.now.Steady)
 			m.shown = true
@@ -372,10 +398,22 @@
 	if e == nil || !c.mine(&e.Rec) {
 		return
 	}
+	if !ok {
+		if m.fails == 0 {
+			m.failAt = m.doAt
+		}
+		m.fails++
+		c.doubt(m)
+		// It talks all the while: it is no dead machine, and no cut one.
+		if m.fails >= 2 && m.heardAt > m.failAt && m.deafAt == 0 {
+			m.deafAt = c.now.Steady
+			c.log(slog.LevelWarn, "nothing that is sent reaches the machine", "machine", string(m.id))
+		}
+		return
+	}
 	if m.rep == nil || !older(v.Report, m.rep.Shift, m.rep.Tally) {
 		m.take(v.Report, c.now.Steady)
-		// The way there works again.
-		m.unheard, m.deafAt, m.owed = 0, 0, false
+		c.hears(m)
 	}
 }
 
@@ -400,9 +438,9 @@
 	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{Baton: e.Rec.Baton, Shift: shift, Orders: orders}})
 }
 
-// show asks the worker of a machine that is on no record for its report.
+// show asks the worker of a machine that this run does not own for its report.
 func (c *Core) show(m *mstate, addr string) {
-	if m.doOut || m.shown || addr == "" {
+	if m.doOut || m.shown || addr == "" || c.doing >= 2*maxDoing {
 		return
 	}
 	m.doOut, m.doAt = true, c.now.Steady
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -109,6 +109,7 @@
 	at    protocol.Instant
 	shift protocol.Shift
 	tally protocol.Tally
+	shown bool // its worker has answered here since
 }
 
 type peer struct {
@@ -343,12 +344,12 @@
 		if c.registered() {
 			h.Run = c.run
 			for _, id := range sorted(c.strayed) {
-				if s := c.strayed[id]; c.since(s.at) < 3*time.Second && len(h.Seen) < 200 {
+				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
 					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
 				}
 			}
 		}
-		clear(c.strayed)
+		maps.DeleteFunc(c.strayed, func(_ protocol.MachineID, s stray) bool { return c.since(s.at) > 3*time.Second })
 		c.emit(SendHint{h})
 	}
 	c.tickUsers()
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -159,3 +159,95 @@
 		}
 	}
 }
+
+// A machine is handed over for a report that its owner has not had, not for a
+// copy of one that it has.
+func TestSeenElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		shift protocol.Shift
+		tally protocol.Tally
+		want  bool
+	}{
+		{"newer report", 2, 8, true},
+		{"newer session", 3, 1, true},
+		{"the same report", 2, 7, false},
+		{"an earlier one", 2, 3, false},
+		{"an earlier session", 1, 99, false},
+	} {
+		core, step := begin(t)
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 2})
+		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 7))})
+		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+			t.Fatal(err)
+		}
+		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: []Seen{{"m-1", c.shift, c.tally}}}})
+		if got := m.handTo == "stall-1#1"; got != c.want {
+			t.Errorf("%s: handed over %v", c.name, got)
+		}
+	}
+}
+
+// Which node tells the load balancer that it can take requests.
+func TestHealthy(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peers int
+		hints []bool // of other nodes: whether they reach the state service
+		calls bool
+		want  bool
+	}{
+		{"all is well", 2, nil, true, true},
+		{"an outage that all see", 2, []bool{false, false}, false, true},
+		{"it alone is cut off from the state service", 2, []bool{false, true}, false, false},
+		{"it hears nobody at all", 2, nil, false, false},
+		{"it is the only node", 0, nil, false, true},
+	} {
+		core, step := begin(t)
+		core.cfg.Peers = c.peers
+		for i := 0; i < 8; i++ {
+			var err error
+			if !c.calls {
+				err = errOutcome
+			}
+			step(time.Second, ExtendResult{Hold: 7, Err: err})
+			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}, Err: err})
+			for k, ok := range c.hints {
+				step(0, HintInput{Hint{Member: protocol.Member(rune('a' + k)), StateOK: ok}})
+			}
+		}
+		if got := core.Healthy(); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A lease has surely expired only if the worker has shown this owner's epoch,
+// counted from its last answered report: the machine's own part of the baton
+// changes nothing of that, a takeover changes everything.
+func TestSurelyExpired(t *testing.T) {
+	const epoch = 3 // as own writes it
+	for _, c := range []struct {
+		name      string
+		confirmed protocol.Baton
+		after     time.Duration
+		want      bool
+	}{
+		{"within the lease", bk.Epoch(epoch).Baton(0), 13 * time.Second, false},
+		{"at its end, clocks may drift", bk.Epoch(epoch).Baton(0), 14*time.Second + 300*time.Millisecond, false},
+		{"behind it", bk.Epoch(epoch).Baton(0), 16 * time.Second, true},
+		{"behind it, before the newest rise was shown", bk.Epoch(epoch).Baton(1), 16 * time.Second, true},
+		{"the worker has shown an earlier owner's only", bk.Epoch(epoch - 1).Baton(9), 16 * time.Second, false},
+	} {
+		core, step := begin(t)
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1, Bump: 2})
+		r := report(e, 1)
+		r.Baton = c.confirmed
+		step(0, BeatInput{Req: 1, Body: protocol.Encode(r)})
+		step(3*time.Second, Tick{}) // answered by now
+		step(c.after-3*time.Second, ExtendResult{Hold: 7})
+		if got := core.surelyExpired(m, &e.Rec); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -28,8 +28,10 @@
 	// the while: they say nothing of the way back.
 	owed      bool // the last answer had a start, or a baton, that the worker must show
 	owedShift protocol.Shift
-	unheard   int // answers in a row that were owed and did not show
-	deafAt    protocol.Instant
+	doubtAt   protocol.Instant // since when it is not sure that it hears; 0: it does
+	failAt    protocol.Instant // when the first of the direct commands failed that have failed in a row
+	fails     int              // and how many those are
+	deafAt    protocol.Instant // since when it is sure that it does not
 
 	// Starts in the answer that the worker may not have carried out yet. A
 	// report that lacks them proves nothing while they are in flight.
@@ -120,7 +122,7 @@
 		m.heardAt = c.now.Steady
 		m.idleSince = 0
 		m.handTo = ""
-		m.owed, m.unheard, m.deafAt = false, 0, 0
+		m.owed, m.doubtAt, m.fails, m.deafAt = false, 0, 0, 0
 	}
 	return m
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -46,7 +46,8 @@
 	zones  map[protocol.Zone]int
 	placed int
 	done   int
-	aged   bool // has waited so long that it goes before all others
+	aged   bool // has waited so long without beginning that it goes before all others
+	old    bool // has been here so long that a part of the fleet goes to it first
 }
 
 // want is demand that no machine, up or coming, can take.
@@ -234,7 +235,8 @@
 	}
 	for _, q := range out {
 		waited := time.Duration(c.now.Wall-q.rec.Sent) * time.Millisecond
-		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0 || waited > 3*c.cfg.AgeAfter
+		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0
+		q.old = waited > 2*c.cfg.AgeAfter && !q.aged && !q.rec.Desc.Gang()
 	}
 	sort.Slice(out, func(i, k int) bool {
 		a, z := out[i], out[k]
@@ -310,12 +312,46 @@
 	c.logFleet(rooms)
 	c.planned.reserved = map[int]bool{}
 	c.planned.free = slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.closed })
-	for _, q := range c.queue(b, rooms) {
+	queue := c.queue(b, rooms)
+	c.placeOld(b, queue, rooms)
+	for _, q := range queue {
 		c.claim(b, q)
 		if q.rec.Desc.Gang() {
 			c.placeGang(b, q, rooms)
 		} else {
-			c.placeArray(b, q, rooms)
+			c.placeArray(b, q, rooms, protocol.MaxPieces)
+		}
+	}
+}
+
+// placeOld gives a quarter of the fleet's cores to arrays that have been here
+// very long, oldest first. By due time they would come last, behind a stream of
+// newer ones for ever; with all they ask for they would make those late too.
+func (c *Core) placeOld(b *batch, queue []*queued, rooms []*room) {
+	var old []*queued
+	for _, q := range queue {
+		if q.old {
+			old = append(old, q)
+		}
+	}
+	if len(old) == 0 {
+		return
+	}
+	share := 0.0
+	for _, r := range rooms {
+		if !r.coming {
+			share += r.fl.Cores / 4
+		}
+	}
+	slices.SortStableFunc(old, func(a, z *queued) int { return cmp.Compare(a.rec.Sent, z.rec.Sent) })
+	for _, q := range old {
+		cores := max(q.rec.Desc.Cores, 0.01)
+		share -= float64(q.placed) * cores
+		if n := int(share / cores); n > 0 {
+			c.claim(b, q)
+			before := q.placed
+			c.placeArray(b, q, rooms, n)
+			share -= float64(q.placed-before) * cores
 		}
 	}
 }
@@ -527,7 +563,7 @@
 	return room / span
 }
 
-func (c *Core) placeArray(b *batch, q *queued, rooms []*room) {
+func (c *Core) placeArray(b *batch, q *queued, rooms []*room, most int) {
 	d := q.rec.Desc
 	left := d.Pieces - q.done - q.placed
 	if left <= 0 {
@@ -535,7 +571,7 @@
 	}
 	// The written form of what is done must stay within a value: gaps in it
 	// are bounded by the tasks under way.
-	limit := min(left, c.teamRoom(rooms, d), max(c.spans(d.Pieces)-q.placed, 0))
+	limit := min(left, most, c.teamRoom(rooms, d), max(c.spans(d.Pieces)-q.placed, 0))
 	ours := c.ours(b, q)
 	j := c.jstate(q.id)
 	if ours && c.now.Steady < j.notBefore {
@@ -572,7 +608,7 @@
 		// Its tasks fit into no gap that others leave: some machines are emptied.
 		c.reserve(b, q, rooms, []protocol.Zone{""}, min(limit, 4))
 	}
-	if q.rec.Claim == c.run {
+	if q.rec.Claim == c.run && most == protocol.MaxPieces {
 		if n := min(left, limit); n > 0 {
 			c.demand = append(c.demand, want{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
 		}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -280,7 +280,7 @@
 }
 
 func (c *Core) wantsDrain(m *mstate, r *bk.MachineRecord) bool {
-	return m.recallAt != 0 || m.faulty || m.deaf() || c.now.Steady < m.restUntil || r.Shift > 0 && c.silent(m)
+	return m.recallAt != 0 || m.faulty || m.deaf() || c.doubted(m) || c.now.Steady < m.restUntil || r.Shift > 0 && c.silent(m)
 }
 
 // quiet tells whether a worker has missed a report for sure.
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -27,8 +27,9 @@
 	for _, id := range owned {
 		if e := c.mir.Machines[id]; e.Rec.Shift > 0 && !e.Rec.Releasing {
 			total++
-			if c.silent(c.own(e, id)) {
+			if m := c.own(e, id); c.silent(m) {
 				quiet++
+				c.doubt(m)
 			}
 		}
 	}
@@ -41,10 +42,10 @@
 		c.tickStops(e, m)
 		c.tickRelease(e, m, cutOff)
 		if newer := m.confirmed < e.Rec.Baton; e.Rec.Shift > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
-			newer && c.since(m.heardAt) > 500*time.Millisecond || m.deaf()) {
+			newer && c.since(m.heardAt) > 500*time.Millisecond || m.doubtAt != 0 && m.heardAt >= m.doubtAt) {
 			// The worker may still report to an owner that was cut off: the
-			// higher baton makes that one's answers worthless. A deaf worker
-			// is asked whether it hears again.
+			// higher baton makes that one's answers worthless. One that may not
+			// hear is asked.
 			c.do(e, m, nil, 2*time.Second)
 		}
 	}
--- /dev/null
+++ b/internal/standin/added_test.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"tillerarch/internal/protocol"
+)
+
+func array(id protocol.JobID, lane string, rank protocol.Rank, pieces int, cores, reckon float64) *protocol.Job {
+	return &protocol.Job{UID: id, Lane: lane, Desk: "core", Shape: protocol.Batch, Rank: rank, Pieces: pieces, Cores: cores, MemGB: 1, Bundle: "b", ReckonS: reckon}
+}
+
+func gang(id protocol.JobID, lane string, rank protocol.Rank, pieces int, cores, reckon float64) *protocol.Job {
+	d := array(id, lane, rank, pieces, cores, reckon)
+	d.Shape = protocol.Group
+	return d
+}
+
+// A machine whose reports arrive while answers and commands do not reach it
+// takes no more work, its tasks move on proof, and it is replaced if it stays
+// so; one that hears again is used again.
+func TestDeafMachine(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heals bool
+	}{{"stays deaf", false}, {"hears again", true}} {
+		w := NewWorld(21, 3, testFlavors[:1], testTeams())
+		w.NoHire = true
+		w.Config.IdleFactor = 100
+		for _, n := range w.Nodes {
+			n.Start()
+		}
+		var ids []protocol.MachineID
+		for i := 0; i < 3; i++ {
+			ids = append(ids, w.Machine("small", "a", false, 0))
+		}
+		m := w.Workers[ids[0]]
+		// Small tasks all the time: whoever has room gets some.
+		for i := 0; i < 60; i++ {
+			w.At(time.Duration(3+i)*time.Second, func() { w.Submit(array(protocol.JobID(fmt.Sprintf("j-%d", i)), "l", "standard", 2, 2, 3)) })
+		}
+		drained, back, told := 0, 0, 0
+		w.Trace = func(l string) {
+			if strings.Contains(l, "machine drains") && strings.Contains(l, string(ids[0])+" on true") {
+				drained++
+			}
+			if strings.Contains(l, "machine goes back") && strings.Contains(l, string(ids[0])) {
+				back++
+			}
+			if strings.Contains(l, "tasks placed") && strings.Contains(l, string(ids[0])) && m.Deaf && drained > 0 {
+				told++
+			}
+		}
+		w.Run(15 * time.Second)
+		m.Deaf = true
+		w.Run(12 * time.Second)
+		if drained != 1 || told > 0 {
+			t.Errorf("%s: drained %d times within 12 s, %d placements behind that", c.name, drained, told)
+		}
+		if c.heals {
+			m.Deaf = false
+			w.Run(13 * time.Second)
+			if len(m.tasks) == 0 {
+				t.Errorf("%s: the machine is not used again", c.name)
+			}
+		}
+		w.Run(100 * time.Second)
+		w.Rules.End(w.Now)
+		if (back == 1) != !c.heals || len(w.Rules.Broken) > 0 || len(w.Done) != 60 {
+			t.Errorf("%s: went back %d times, %d of 60 done, broken %v", c.name, back, len(w.Done), w.Rules.Broken)
+		}
+	}
+}
+
+// A report that outlived its machine, or comes to where it does not belong,
+// brings nothing back and makes no new owner.
+func TestLateCopies(t *testing.T) {
+	w := NewWorld(22, 3, testFlavors[:1], testTeams())
+	w.NoHire = true
+	for i := 0; i < 6; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	w.At(3*time.Second, func() { w.Submit(array("j-1", "l", "standard", 12, 2, 60)) })
+	w.Run(15 * time.Second)
+	id := slices.Sorted(maps.Keys(w.Workers))[0]
+	m := w.Workers[id]
+	before, late := m.body(), m.body() // one more than any controller has seen
+	m.tally--
+	started := w.Rules.Started
+	changes := 0
+	w.Trace = func(l string) {
+		for _, what := range []string{"adopted", "handed over", "taken over", "requeued", "task ended"} {
+			if strings.Contains(l, what) {
+				changes++
+			}
+		}
+	}
+	// To all controllers while the machine lives: its tasks stay where they are.
+	for i := 0; i < 40; i++ {
+		w.At(time.Duration(i)*300*time.Millisecond, func() { w.Nodes[i%3].Beat(before, func(int, []byte) {}) })
+	}
+	w.Run(14 * time.Second)
+	if changes != 0 || w.Rules.Started != started {
+		t.Errorf("%d changes by copies, %d starts after %d", changes, w.Rules.Started, started)
+	}
+	// And once it is gone and off the records.
+	w.Lose(id)
+	w.Run(40 * time.Second)
+	changes = 0
+	for i := 0; i < 20; i++ {
+		w.At(time.Duration(i)*time.Second, func() { w.Nodes[i%3].Beat(late, func(int, []byte) {}) })
+	}
+	w.Run(25 * time.Second)
+	if changes != 0 {
+		t.Errorf("%d changes by copies of a machine that is gone", changes)
+	}
+	w.Run(150 * time.Second)
+	w.Rules.End(w.Now)
+	if !w.Done["j-1"] || len(w.Rules.Broken) > 0 {
+		t.Errorf("done %v, broken %v", w.Done["j-1"], w.Rules.Broken)
+	}
+}
+
+// A controller that hears neither the state service nor other controllers goes
+// on answering its workers until its successors have them: no task is lost.
+// Users get 503 from it at once.
+func TestAloneWithWorkers(t *testing.T) {
+	for seed := uint64(31); seed < 34; seed++ {
+		w := NewWorld(seed, 3, testFlavors[:1], testTeams())
+		w.NoHire = true
+		for i := 0; i < 9; i++ {
+			w.Machine("small", "a", false, 0)
+		}
+		w.At(3*time.Second, func() { w.Submit(array("j-1", "l", "standard", 18, 2, 60)) })
+		w.At(6*time.Second, func() { w.Submit(array("j-2", "l", "standard", 4, 2, 10)) })
+		w.Run(14 * time.Second)
+		n := w.Nodes[0]
+		n.NoState, n.NoPeers = true, true
+		w.Run(9 * time.Second)
+		if n.Core.Healthy() {
+			t.Errorf("seed %d: it is healthy", seed)
+		}
+		asked := w.Now
+		status, after := 0, time.Duration(0)
+		w.Ask(n, protocol.Query, "j-1", nil, func(s int, _ protocol.Stage) { status, after = s, w.Now-asked })
+		w.Run(3 * time.Second)
+		if status != 503 || after > 200*time.Millisecond {
+			t.Errorf("seed %d: answered %d after %v", seed, status, after)
+		}
+		// What is submitted now is served without it, by all machines.
+		w.Submit(array("j-3", "l", "high", 4, 2, 5))
+		w.Run(60 * time.Second)
+		for id, m := range w.Workers {
+			if !m.Gone && m.node%3 == 0 {
+				t.Errorf("seed %d: %s still reports to it", seed, id)
+			}
+		}
+		n.NoState, n.NoPeers = false, false
+		w.Rules.Calm = w.Now
+		w.Run(120 * time.Second)
+		w.Rules.End(w.Now)
+		if w.Rules.Started != 26 || len(w.Done) != 3 || len(w.Rules.Broken) > 0 {
+			t.Errorf("seed %d: %d starts for 26 tasks, done %v, broken %v", seed, w.Rules.Started, w.Done, w.Rules.Broken)
+		}
+	}
+}
+
+// Nothing starves: the largest jobs of a class begin within four minutes, and
+// half of each class is served, whatever stream they stand against. Without
+// aging each of these days breaks that rule, which shows that it is the guard.
+func TestNothingStarves(t *testing.T) {
+	due := func(d *protocol.Job, s float64) *protocol.Job {
+		d.DueS = &s
+		return d
+	}
+	for _, c := range []struct {
+		name  string
+		first *protocol.Job
+		// The stream: a job every so often.
+		every  time.Duration
+		stream func(id protocol.JobID, i int) *protocol.Job
+	}{
+		{"a large array without a deadline among small ones", array("j-1", "l", "standard", 300, 2, 4), 780 * time.Millisecond,
+			func(id protocol.JobID, i int) *protocol.Job { return due(array(id, "l", "standard", 8, 2, 6), 30) }},
+		{"a gang of whole machines among smaller ones", gang("j-1", "g", "high", 4, 30, 10), 3300 * time.Millisecond,
+			func(id protocol.JobID, i int) *protocol.Job { return due(gang(id, "g", "high", 1, 30, 12), 20) }},
+		{"low rank in a long burst", array("j-1", "night", "low", 12, 4, 10), 800 * time.Millisecond,
+			func(id protocol.JobID, i int) *protocol.Job { return array(id, "l", "standard", 8, 2, 6) }},
+	} {
+		for _, aging := range []bool{true, false} {
+			w := NewWorld(41, 3, testFlavors[1:], testTeams())
+			w.NoHire = true
+			w.Config.IdleFactor = 100
+			if !aging {
+				w.Config.AgeAfter = time.Hour
+			}
+			for _, n := range w.Nodes {
+				n.Start()
+			}
+			for i := 0; i < 4; i++ {
+				w.Machine("large", "a", false, 0)
+			}
+			n := 0
+			w.Every(c.every, func() {
+				if n++; w.Now < 290*time.Second {
+					w.Submit(c.stream(protocol.JobID(fmt.Sprintf("j-%d", 100+n)), n))
+				}
+			})
+			w.At(20*time.Second, func() { w.Submit(c.first) })
+			w.Run(290 * time.Second)
+			w.Rules.End(w.Now)
+			starved := 0
+			for _, b := range w.Rules.Broken {
+				if strings.HasPrefix(b, "unserved") && (strings.Contains(b, "j-1 ") || strings.Contains(b, "largest") || strings.Contains(b, "night")) {
+					starved++
+				} else if !strings.HasPrefix(b, "unserved") {
+					t.Errorf("%s: %s", c.name, b)
+				}
+			}
+			began := w.Rules.job("j-1").began
+			if (starved > 0) == aging {
+				t.Errorf("%s, aging %v: begins at %v, broken %v", c.name, aging, began, w.Rules.Broken)
+			}
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -100,6 +100,14 @@
 	m.tasks = map[protocol.Task]*task{}
 }
 
+// Reboot ends all that is on the machine; it is back at once with a new session.
+func (m *Worker) Reboot() {
+	m.kill()
+	m.shift++
+	m.leased = m.w.Now
+	m.waiting, m.changed = false, true
+}
+
 // step lets the machine's time pass.
 func (m *Worker) step() {
 	now := m.w.Now
