--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +85,11 @@
 	if n, keys := commits(submit()); n != 1 || keys[0] != bk.JobKey("j-1") {
 		t.Fatalf("%d commits of %v", n, keys)
 	}
+	// Whatever is sent rests on this run's own key: once that has gone, nothing
+	// that is still on its way is applied.
+	if !slices.Contains(c.tx.multi.When, protocol.When{Key: bk.MemberKey("stall-0"), Stamp: c.self}) {
+		t.Errorf("the transaction does not depend on the run's key: %v", c.tx.multi.When)
+	}
 	step(0, CommitResult{ID: c.tx.id, Outcome: bk.Unknown, Err: errOutcome})
 	step(time.Second, ExtendResult{Hold: 7})
 	if c.tx == nil || !c.tx.fence || c.tx.multi.Then[0].Put != bk.MemberKey("stall-0") || c.tx.multi.Then[0].Tenancy != 7 {
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
 
@@ -229,3 +231,49 @@
 		}
 	}
 }
+
+// A machine that reports to two controllers at the same moment, both of which
+// may put it on record, stands on one page only.
+func TestOnePageOnly(t *testing.T) {
+	for seed := uint64(51); seed < 56; seed++ {
+		w := NewWorld(seed, 3, testFlavors[:1], testTeams())
+		w.NoHire = true
+		w.Run(2 * time.Second)
+		for i := 0; i < 8; i++ {
+			m := w.Workers[w.Machine("small", "a", false, time.Hour)] // reports when it is told to
+			w.At(time.Duration(i)*400*time.Millisecond, func() {
+				for _, n := range w.Nodes {
+					n.Beat(m.body(), func(int, []byte) {})
+				}
+			})
+		}
+		refused := 0
+		w.Trace = func(l string) {
+			if strings.Contains(l, "transaction refused") {
+				refused++
+			}
+		}
+		w.Run(6 * time.Second)
+		on := map[string]int{}
+		for _, i := range w.State.Items(bookkeeping.PageKey("")) {
+			var page struct {
+				M []string `json:"m"`
+			}
+			if err := json.Unmarshal(i.Data, &page); err != nil {
+				t.Fatal(err)
+			}
+			for _, line := range page.M {
+				id, _, _ := strings.Cut(line, " ")
+				on[id]++
+			}
+		}
+		for id, n := range on {
+			if n != 1 {
+				t.Errorf("seed %d: %s stands on %d pages", seed, id, n)
+			}
+		}
+		if len(on) != 8 || refused == 0 {
+			t.Errorf("seed %d: %d of 8 machines on record, %d transactions refused", seed, len(on), refused)
+		}
+	}
+}
