--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -55,6 +55,12 @@
 			RPS      float64 `toml:"rps"`
 			ListLagS float64 `toml:"list_lag_s"`
 		} `toml:"cloud"`
+		Objectives []struct {
+			Kind    string  `toml:"kind"`
+			Class   string  `toml:"class"`
+			WithinS float64 `toml:"within_s"`
+			Times   float64 `toml:"times"`
+		} `toml:"objectives"`
 		Resources struct {
 			MemoryMB   float64 `toml:"memory_mb"`
 			MaxSockets int     `toml:"max_sockets"`
@@ -103,6 +109,24 @@
 	for _, m := range p.Members {
 		s.peers = append(s.peers, m.Addr)
 	}
+	s.core.Aims = map[string]coordination.Aims{}
+	for _, o := range p.Params.Objectives {
+		// What is aimed at only puts jobs in order: a kind that is not known, or an
+		// odd number, is left out.
+		a := s.core.Aims[o.Class]
+		within := protocol.Seconds(min(o.WithinS, 1e6))
+		switch {
+		case o.Kind == "wait" && o.WithinS > 0:
+			a.Wait = append(a.Wait, within)
+		case o.Kind == "finished" && o.WithinS > 0:
+			a.Finished = append(a.Finished, within)
+		case o.Kind == "deadline" && o.Times > 0 && o.Times < 1e3:
+			a.Times = append(a.Times, o.Times)
+		default:
+			continue
+		}
+		s.core.Aims[o.Class] = a
+	}
 	for _, t := range p.Params.Teams {
 		s.core.Teams[t.Name] = coordination.Team{Cores: t.Cpus, CoresMax: t.CpusMax, Accels: t.Gpus, AccelsMax: t.GpusMax}
 	}
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -187,10 +187,18 @@
 
 func (t Team) limited() bool { return t.CoresMax > 0 || t.AccelsMax > 0 }
 
+// Aims of a class of jobs, as the platform states them: how soon its tasks
+// begin, how soon its jobs are done, and by which multiple of their deadlines.
+type Aims struct {
+	Wait, Finished []time.Duration
+	Times          []float64
+}
+
 // Config is what the platform and the operator set.
 type Config struct {
 	Member protocol.Member
 	Teams  map[string]Team
+	Aims   map[string]Aims // by class
 
 	Report, Lease, GangPeer, Cancel time.Duration
 	WriteRPS                        float64
@@ -238,7 +246,7 @@
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, AgeAfter: 75 * time.Second, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -41,6 +41,7 @@
 	id     protocol.JobID
 	rec    *bk.JobRecord
 	order  int
+	turn   int // the order in which it is served: that of its rank, or a better one
 	due    protocol.Millis
 	late   bool
 	zones  map[protocol.Zone]int
@@ -217,11 +218,8 @@
 			continue
 		}
 		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: b.viewDone(id).Len()}
-		q.due = r.Sent + protocol.Millis(600_000)
-		if r.Desc.DueS != nil {
-			q.due = r.Sent + protocol.Millis(*r.Desc.DueS*1000)
-			q.late = c.now.Wall > q.due
-		}
+		q.turn = q.order
+		c.urgency(q)
 		byJob[id] = q
 		out = append(out, q)
 	}
@@ -245,8 +243,8 @@
 			return a.aged
 		case a.aged && a.rec.Sent != z.rec.Sent:
 			return a.rec.Sent < z.rec.Sent
-		case a.order != z.order:
-			return a.order < z.order
+		case a.turn != z.turn:
+			return a.turn < z.turn
 		case a.late != z.late:
 			return z.late
 		case a.due != z.due:
@@ -257,6 +255,41 @@
 	return out
 }
 
+// urgency tells by when a job is to be served: the first of its class's aims, and
+// of its deadline, that can still be met. What has missed all of them goes last
+// within its rank. A job of low rank whose tasks should begin soon is served like
+// the rank above: it stops nobody's work, but gets some of what becomes free.
+func (c *Core) urgency(q *queued) {
+	d, sent := q.rec.Desc, q.rec.Sent
+	aims := c.cfg.Aims[d.Lane]
+	q.due, q.late = sent+protocol.Millis(600_000), true
+	reach := func(within, lead time.Duration) {
+		due := sent + protocol.Millis(within.Milliseconds())
+		if c.now.Wall+protocol.Millis(lead.Milliseconds()) <= due && (q.late || due < q.due) {
+			q.due, q.late = due, false
+		}
+	}
+	run := protocol.Seconds(d.ReckonS / 2) // estimates are often wrong by half
+	for _, w := range aims.Wait {
+		reach(w, 0)
+		if left := sent + protocol.Millis(w.Milliseconds()) - c.now.Wall; q.turn > 1 && left > 0 && 3*left < protocol.Millis(w.Milliseconds()) {
+			q.turn--
+		}
+	}
+	for _, w := range aims.Finished {
+		reach(w, run)
+	}
+	if d.DueS != nil {
+		reach(protocol.Seconds(*d.DueS), run)
+		for _, n := range aims.Times {
+			reach(protocol.Seconds(*d.DueS*n), run)
+		}
+	}
+	if len(aims.Wait)+len(aims.Finished) == 0 && d.DueS == nil {
+		q.late = false
+	}
+}
+
 // zoneRoom tells how many more tasks of the job may be in the zone.
 func (q *queued) zoneRoom(z protocol.Zone) int {
 	d := q.rec.Desc
