--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -206,7 +206,7 @@
 		"paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery, "list.silent": &t.ListSilent,
-		"age.after": &t.AgeAfter,
+		"age.after": &t.AgeAfter, "balance.gap": &t.BalanceGap,
 	}
 	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss, "idle.factor": &t.IdleFactor}
 	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.HireCap}
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -172,7 +172,7 @@
 	if m.deaf() || m.confirmed < e.Rec.Baton {
 		return false
 	}
-	if c.since(m.heldAt) >= c.cfg.BeatHold {
+	if c.since(m.heldAt) >= c.beatHold() {
 		return c.holdIdle(e, m)
 	}
 	if r.Shift != e.Rec.Shift {
@@ -192,6 +192,13 @@
 	return c.holdIdle(e, m)
 }
 
+// beatHold is how long a report with news waits for the write. Where reports are
+// far apart it waits longer: the next one, which would take what this answer
+// lacks, is that much later.
+func (c *Core) beatHold() time.Duration {
+	return max(c.cfg.BeatHold, min(c.cfg.Report*3/8, 3*time.Second))
+}
+
 // holdIdle tells whether the answer to a machine with room waits for something
 // to do: a start that is written meanwhile goes out at once instead of with the
 // next report. The worker waits longer than that for an answer. While tasks
@@ -268,7 +275,9 @@
 			}
 			continue
 		}
-		if e == nil || !c.mine(&e.Rec) || m.rep.Baton > e.Rec.Baton {
+		if e != nil && !c.mine(&e.Rec) && c.mir.Alive(e.Rec.Owner) {
+			c.redirect(c.unhold(m), e.Rec.Owner.Member())
+		} else if e == nil || !c.mine(&e.Rec) || m.rep.Baton > e.Rec.Baton {
 			c.dropHeld(m)
 		} else if !c.holdBeat(e, m) {
 			c.answerBeat(e, m)
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -427,6 +427,7 @@
 // flush sends the next transaction if there is something to write.
 func (c *Core) flush() {
 	now := c.now.Steady
+	c.flushUsers()
 	if c.tx != nil || !c.loaded || now < c.flushAt || c.hold == 0 {
 		return
 	}
@@ -456,11 +457,10 @@
 	if room < 1 {
 		return
 	}
-	if len(c.submits)+len(c.aborts)+len(c.halts)+len(c.adopting)+len(c.deadAt) == 0 && now < c.nextPlan() {
+	if len(c.halts)+len(c.adopting)+len(c.deadAt) == 0 && now < c.nextPlan() {
 		return
 	}
 	b := c.newBatch(room)
-	c.writeUsers(b)
 	c.writeHalts(b)
 	c.writeTakeovers(b)
 	// What can wait does so until a fair batch can be paid for: a record is then
@@ -500,12 +500,33 @@
 	c.send(&txn{multi: m, logs: b.logs})
 }
 
+// flushUsers sends new and withdrawn jobs.
+func (c *Core) flushUsers() {
+	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.hold == 0 || !c.registered() || c.fence || c.mir.Rev < c.minRev ||
+		len(c.submits)+len(c.aborts) == 0 {
+		return
+	}
+	b := c.newBatch(min(int(c.tokens.TokensAt(c.steady())), c.txCap))
+	if c.writeUsers(b); b.empty() {
+		return
+	}
+	m := b.multi()
+	m.When = append(m.When, c.selfWhen())
+	if c.spend(len(m.Then)) {
+		c.send(&txn{multi: m, logs: b.logs, user: true})
+	}
+}
+
 func (c *Core) spend(n int) bool { return c.tokens.AllowN(c.steady(), n) }
 
 func (c *Core) send(t *txn) {
 	c.txID++
 	t.id = c.txID
-	c.tx = t
+	if t.user {
+		c.userTx = t
+	} else {
+		c.tx = t
+	}
 	c.emit(Commit{t.id, t.multi})
 }
 
@@ -523,13 +544,20 @@
 }
 
 func (c *Core) committed(v CommitResult) {
-	t := c.tx
+	t, next := c.tx, &c.flushAt
+	if c.userTx != nil && c.userTx.id == v.ID {
+		t, next = c.userTx, &c.userAt
+	}
 	if t == nil || t.id != v.ID {
 		return
 	}
-	c.tx = nil
+	if t.user {
+		c.userTx = nil
+	} else {
+		c.tx = nil
+	}
 	now := c.now.Steady
-	c.flushAt = now
+	*next = now
 	switch v.Outcome {
 	case bk.Applied, bk.Conflict, bk.Busy, bk.NoLease, bk.Invalid:
 		c.heard(nil)
@@ -576,20 +604,20 @@
 	case bk.Conflict:
 		c.log(slog.LevelDebug, "transaction refused, records have moved on", "keys", v.Answer.Failed)
 		c.waitRev(v.Answer.Rev)
-		c.flushAt = now.Add(c.jitter(20 * time.Millisecond))
+		*next = now.Add(c.jitter(20 * time.Millisecond))
 		c.checkSelf()
 	case bk.Busy:
 		c.busyCount++
-		c.flushAt = now.Add(c.jitter(min(50*time.Millisecond<<min(c.busyCount, 4), time.Second)))
+		*next = now.Add(c.jitter(min(50*time.Millisecond<<min(c.busyCount, 4), time.Second)))
 	case bk.NoLease:
 		c.self, c.hold = 0, 0
 	case bk.Refused:
-		c.flushAt = now.Add(c.jitter(300 * time.Millisecond))
+		*next = now.Add(c.jitter(300 * time.Millisecond))
 	case bk.Invalid:
 		c.log(slog.LevelError, "transaction called malformed", "err", errText(v.Err))
 		// Whatever made it too large, a smaller one gets on.
 		c.txCap = max(c.txCap/2, 1)
-		c.flushAt = now.Add(200 * time.Millisecond)
+		*next = now.Add(200 * time.Millisecond)
 	case bk.Unknown:
 		// It may be applied now, later or never. Only a fence settles it.
 		c.log(slog.LevelWarn, "transaction without outcome", "err", errText(v.Err))
@@ -598,7 +626,7 @@
 		} else {
 			c.hold = 0 // register with a new lease; the old run's name is not used
 		}
-		c.flushAt = now.Add(c.jitter(200 * time.Millisecond))
+		*next = now.Add(c.jitter(200 * time.Millisecond))
 	}
 }
 
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -46,20 +46,25 @@
 	extendAt  protocol.Instant
 	grantAt   protocol.Instant
 
-	// Transactions: one at a time.
-	tokens    *rate.Limiter
-	txID      uint64
-	tx        *txn
-	fence     bool         // a transaction had an unknown outcome
-	minRev    protocol.Rev // the mirror must be as new before the next one
-	minRevAt  protocol.Instant
-	flushAt   protocol.Instant
-	busyCount int
-	rate      float64 // writes a second that this node allows itself
-	txCap     int     // changes that a transaction may have now
-	gangNeeds int     // changes that a gang needs which found no room in the last one
-	pageSeq   int
-	turn      int // of own pages, the one to go on with
+	// Transactions: one at a time, and one beside it for what users ask for, which
+	// would else wait for all that ends and starts.
+	tokens     *rate.Limiter
+	txID       uint64
+	tx         *txn
+	userTx     *txn
+	userAt     protocol.Instant // next one of those
+	fence      bool             // a transaction had an unknown outcome
+	minRev     protocol.Rev     // the mirror must be as new before the next one
+	minRevAt   protocol.Instant
+	flushAt    protocol.Instant
+	busyCount  int
+	rate       float64 // writes a second that this node allows itself
+	txCap      int     // changes that a transaction may have now
+	gangNeeds  int     // changes that a gang needs which found no room in the last one
+	pageSeq    int
+	balancedAt protocol.Instant // when a page was last given to another controller
+	gaveAt     protocol.Instant // when a machine last left for a controller that its worker reached instead
+	turn       int              // of own pages, the one to go on with
 
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
@@ -122,6 +127,7 @@
 	multi protocol.Multi
 	fence bool
 	reg   bool // registers this run
+	user  bool // holds what users asked for
 	logs  []Effect
 }
 
@@ -343,6 +349,7 @@
 		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
 		if c.registered() {
 			h.Run = c.run
+			h.Fit = c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
 					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -87,10 +87,10 @@
 	}
 	// Whatever is sent rests on this run's own key: once that has gone, nothing
 	// that is still on its way is applied.
-	if !slices.Contains(c.tx.multi.When, protocol.When{Key: bk.MemberKey("stall-0"), Stamp: c.self}) {
-		t.Errorf("the transaction does not depend on the run's key: %v", c.tx.multi.When)
+	if !slices.Contains(c.userTx.multi.When, protocol.When{Key: bk.MemberKey("stall-0"), Stamp: c.self}) {
+		t.Errorf("the transaction does not depend on the run's key: %v", c.userTx.multi.When)
 	}
-	step(0, CommitResult{ID: c.tx.id, Outcome: bk.Unknown, Err: errOutcome})
+	step(0, CommitResult{ID: c.userTx.id, Outcome: bk.Unknown, Err: errOutcome})
 	step(time.Second, ExtendResult{Hold: 7})
 	if c.tx == nil || !c.tx.fence || c.tx.multi.Then[0].Put != bk.MemberKey("stall-0") || c.tx.multi.Then[0].Tenancy != 7 {
 		t.Fatalf("no fence: %+v", c.tx)
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -109,6 +109,8 @@
 	Member  protocol.Member
 	StateOK bool // the sender reaches the state service
 	Run     bk.Run
+	// The sender can look after more machines: its workers reach it.
+	Fit bool
 	// Machines of other owners whose workers report to the sender: their owners
 	// may be cut off from them.
 	Seen []Seen
@@ -230,6 +232,7 @@
 	SpotMargin   time.Duration
 	SpotCheck    time.Duration
 	SpotCap      int
+	BalanceGap   time.Duration // least time between pages given to controllers that have fewer
 	AgeAfter     time.Duration // a job that has not begun by then goes before all others
 	SpotLoss     float64       // reclaims an hour that a machine is reckoned with
 	HireCap      int
@@ -246,7 +249,7 @@
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, BalanceGap: 3 * time.Second, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -39,11 +39,14 @@
 			b.add(id, &bk.MachineRecord{Shift: m.rep.Shift, Addr: m.rep.Addr, Build: m.rep.Build, Yard: m.rep.Yard,
 				Loaner: m.rep.Loaners, Since: c.now.Wall}, m.rep.Baton)
 			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
-		} else if !c.mir.Alive(e.Rec.Owner) {
+		} else if at, dead := c.deadAt[e.Rec.Owner]; dead && (c.heir(bk.PageKey(e.Rec.Page)) || c.since(at) > 4*time.Second) {
+			// Not whoever hears of it first: when all come back, the first one
+			// would have the whole fleet.
 			c.takeOver(b, e.Rec.Page, m.rep.Baton)
 		}
 	}
 	if len(c.deadAt) == 0 {
+		c.balance(b)
 		return
 	}
 	for _, id := range sorted(c.mir.Pages) {
@@ -58,6 +61,42 @@
 	}
 }
 
+// balance gives a page to a controller that has far fewer, one at a time: writing
+// what starts and ends is the owner's work, and each may write only so much.
+func (c *Core) balance(b *batch) {
+	if c.since(c.balancedAt) < c.cfg.BalanceGap {
+		return
+	}
+	pages := map[bk.Run]int{}
+	for _, p := range c.mir.Pages {
+		pages[p.Owner]++
+	}
+	mine := pages[c.run]
+	var to bk.Run
+	for _, m := range sorted(c.peers) {
+		p := c.peers[m]
+		if c.since(p.at) > 3*time.Second || !p.hint.StateOK || !p.hint.Fit || !c.mir.Alive(p.hint.Run) || 4*pages[p.hint.Run] >= 3*mine || pages[p.hint.Run]+1 >= mine {
+			continue
+		}
+		if to == "" || pages[p.hint.Run] < pages[to] {
+			to = p.hint.Run
+		}
+	}
+	if to == "" || !b.hasRoom(1) {
+		return
+	}
+	own := c.ownPages()
+	id := own[c.rng.IntN(len(own))]
+	if b.pages[id] != nil {
+		return
+	}
+	c.balancedAt = c.now.Steady
+	d := b.page(id)
+	d.owner = to
+	d.epoch++
+	b.log(slog.LevelInfo, "page handed over, its new owner has fewer", "page", string(id), "machines", len(d.ids), "to", string(to))
+}
+
 // takeOver makes this run the owner of a page, with all machines on it.
 func (c *Core) takeOver(b *batch, id bk.PageID, above protocol.Baton) {
 	d := b.page(id)
@@ -108,6 +147,7 @@
 		if page := to[m.handTo]; b.pages[page].epoch > e.Rec.Epoch {
 			b.move(id, page)
 			b.machines[id].Drain = false
+			c.gaveAt = c.now.Steady
 			b.log(slog.LevelInfo, "machine handed over, its worker reports there", "machine", string(id), "to", string(m.handTo))
 		}
 	}
@@ -138,7 +178,7 @@
 }
 
 func (c *Core) reconcile(b *batch, id protocol.MachineID, e *bk.Machine) {
-	if b.machines[id] != nil || b.gone(id) {
+	if b.machines[id] != nil || b.gone(id) || b.pages[e.Rec.Page] != nil && b.pages[e.Rec.Page].owner != c.run {
 		return // being handed over in this transaction
 	}
 	m := c.own(e, id)
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -277,3 +277,60 @@
 		}
 	}
 }
+
+// When all controllers come back at once, the pages of their earlier runs are
+// spread over them, and one that has far fewer later is given some.
+func TestPagesAreSpread(t *testing.T) {
+	w := NewWorld(61, 3, testFlavors[:1], testTeams())
+	w.NoHire = true
+	w.Config.IdleFactor = 1000
+	w.Config.ValueBytes = 1024 // few machines on a page
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	for i := 0; i < 60; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	spread := func() (least, most int) {
+		on := map[string]int{}
+		for _, i := range w.State.Items(bookkeeping.PageKey("")) {
+			var page struct{ O string }
+			if err := json.Unmarshal(i.Data, &page); err != nil {
+				t.Fatal(err)
+			}
+			member, _, _ := strings.Cut(page.O, "#")
+			on[member]++
+		}
+		least = 1000
+		for _, n := range w.Nodes {
+			least = min(least, on[string(n.Member)])
+			most = max(most, on[string(n.Member)])
+		}
+		return least, most
+	}
+	w.Run(20 * time.Second)
+	for _, n := range w.Nodes {
+		n.Kill()
+	}
+	w.Run(5 * time.Second)
+	for i, n := range w.Nodes {
+		w.At(time.Duration(i)*time.Second, n.Start)
+	}
+	w.Run(15 * time.Second)
+	if least, most := spread(); least < 2 {
+		t.Errorf("soon after all are back one has %d pages, another %d", least, most)
+	}
+	w.Nodes[0].Kill()
+	w.Run(25 * time.Second)
+	if least, _ := spread(); least != 0 {
+		t.Errorf("the pages of the one that is gone were not taken over: %d", least)
+	}
+	w.Nodes[0].Start()
+	w.Run(60 * time.Second)
+	if least, most := spread(); 2*least < most {
+		t.Errorf("a minute after the last is back one has %d pages, another %d", least, most)
+	}
+	if len(w.Rules.Broken) > 0 {
+		t.Error(w.Rules.Broken)
+	}
+}
