--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -39,7 +39,7 @@
 			b.add(id, &bk.MachineRecord{Shift: m.rep.Shift, Addr: m.rep.Addr, Build: m.rep.Build, Yard: m.rep.Yard,
 				Loaner: m.rep.Loaners, Since: c.now.Wall}, m.rep.Baton)
 			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
-		} else if at, dead := c.deadAt[e.Rec.Owner]; dead && (c.heir(bk.PageKey(e.Rec.Page)) || c.since(at) > 4*time.Second) {
+		} else if at, dead := c.deadAt[e.Rec.Owner]; dead && (c.since(at) > time.Second && c.heir(bk.PageKey(e.Rec.Page)) || c.since(at) > 4*time.Second) {
 			// Not whoever hears of it first: when all come back, the first one
 			// would have the whole fleet.
 			c.takeOver(b, e.Rec.Page, m.rep.Baton)
