--- /dev/null
+++ b/internal/coordination/batch.go
@@ -0,0 +1,419 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// batch collects changes for one transaction. Every change rests on the stamps
+// that the mirror has; the service refuses it if one of them has moved on.
+type batch struct {
+	c        *Core
+	room     int // puts and deletes still allowed
+	bytes    int // what the records in it are reckoned to take, written
+	when     map[string]protocol.Stamp
+	jobs     map[protocol.JobID]*bk.JobRecord
+	pages    map[bk.PageID]*draft
+	machines map[protocol.MachineID]*bk.MachineRecord
+	teams    map[string]bool
+	done     map[protocol.JobID]bk.Ranges // tasks that are done by what is in the batch
+	roll     bool                         // a machine is put on record
+	marks    []func()                     // what to remember once it is sent
+	logs     []Effect                     // lines for the operator once it is applied
+}
+
+// draft is a page as the batch leaves it.
+type draft struct {
+	owner bk.Run
+	epoch bk.Epoch
+	ids   []protocol.MachineID
+	done  map[protocol.JobID]bk.Ranges
+	size  int
+}
+
+// Room that is left on a page for what is reckoned too small.
+const pageSlack = 700
+
+func (c *Core) newBatch(room int) *batch {
+	return &batch{c: c, room: room, when: map[string]protocol.Stamp{}, jobs: map[protocol.JobID]*bk.JobRecord{},
+		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, done: map[protocol.JobID]bk.Ranges{}}
+}
+
+// on makes the transaction depend on a key as the mirror has it.
+func (b *batch) on(key string) { b.when[key] = b.c.mir.Stamp(key) }
+
+func (b *batch) open(key string, size int) {
+	b.on(key)
+	b.room--
+	b.bytes += size
+}
+
+// hasRoom tells whether n more records can be changed, however large they are.
+func (b *batch) hasRoom(n int) bool {
+	return n == 0 && b.bytes < protocol.MaxTxnSize || b.room >= n && b.bytes+n*b.c.cfg.ValueBytes <= protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
+}
+
+// job gives a job's record to change; the caller has asked for room.
+func (b *batch) job(id protocol.JobID) *bk.JobRecord {
+	if r := b.jobs[id]; r != nil {
+		return r
+	}
+	e := b.c.mir.Jobs[id]
+	r := e.Rec
+	b.open(bk.JobKey(id), e.Size+200)
+	b.jobs[id] = &r
+	return &r
+}
+
+// page gives a page to change; the caller has asked for room.
+func (b *batch) page(id bk.PageID) *draft {
+	if d := b.pages[id]; d != nil {
+		return d
+	}
+	p := b.c.mir.Pages[id]
+	d := &draft{owner: p.Owner, epoch: p.Epoch, ids: p.Machines, size: p.Size, done: map[protocol.JobID]bk.Ranges{}}
+	for j, r := range p.Done {
+		if e := b.c.mir.Jobs[j]; e == nil || !e.Rec.Stage.Final() {
+			d.done[j] = r
+		}
+	}
+	b.open(bk.PageKey(id), p.Size+pageSlack)
+	b.pages[id] = d
+	return d
+}
+
+// newPage begins a page that is not on record yet.
+func (b *batch) newPage(owner bk.Run, epoch bk.Epoch) bk.PageID {
+	b.c.pageSeq++
+	id := bk.PageID(fmt.Sprintf("%s-%d", b.c.run, b.c.pageSeq))
+	b.open(bk.PageKey(id), pageSlack)
+	b.pages[id] = &draft{owner: owner, epoch: epoch, done: map[protocol.JobID]bk.Ranges{}}
+	return id
+}
+
+// machine gives a machine's record to change; the caller has asked for room.
+func (b *batch) machine(id protocol.MachineID) *bk.MachineRecord {
+	if r := b.machines[id]; r != nil {
+		return r
+	}
+	r := b.c.mir.Machines[id].Rec.Clone()
+	b.page(r.Page)
+	b.machines[id] = r
+	return r
+}
+
+// canAdd tells whether one more machine can be put on record.
+func (b *batch) canAdd() bool { return b.hasRoom(2) }
+
+// add puts a machine that is not on record on a page of this run, with a baton
+// above the one that its worker has seen. The caller has asked canAdd.
+func (b *batch) add(id protocol.MachineID, r *bk.MachineRecord, above protocol.Baton) {
+	if !b.roll {
+		b.open(bk.RollKey, 100)
+		b.roll = true
+	}
+	size := b.c.lineSize(r.Build)
+	page := bk.PageID("")
+	fits := func(p bk.PageID, d *draft) bool {
+		return d.owner == b.c.run && d.epoch > bk.EpochOf(above) && b.pageLoad(d.ids)+size <= b.c.cfg.ValueBytes
+	}
+	for _, p := range sorted(b.pages) {
+		if fits(p, b.pages[p]) {
+			page = p
+			break
+		}
+	}
+	if page == "" {
+		for _, p := range b.c.ownPages() {
+			e := b.c.mir.Pages[p]
+			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, epoch: e.Epoch, ids: e.Machines}) {
+				page = p
+				break
+			}
+		}
+	}
+	if page == "" {
+		page = b.newPage(b.c.run, max(bk.EpochOf(above)+1, 1))
+	}
+	b.put(page, id, r)
+}
+
+func (b *batch) put(page bk.PageID, id protocol.MachineID, r *bk.MachineRecord) {
+	d := b.page(page)
+	d.ids = append(d.ids[:len(d.ids):len(d.ids)], id)
+	d.size += len(r.Line(id)) + 3
+	b.bytes += len(r.Line(id)) + 3
+	r.Page, r.Owner, r.Epoch, r.Baton = page, d.owner, d.epoch, d.epoch.Baton(r.Bump)
+	b.machines[id] = r
+}
+
+// drop takes a machine off its page.
+func (b *batch) drop(id protocol.MachineID) {
+	r := b.viewMachine(id)
+	d := b.page(r.Page)
+	d.ids = slices.DeleteFunc(slices.Clone(d.ids), func(x protocol.MachineID) bool { return x == id })
+	delete(b.machines, id)
+}
+
+// move puts a machine on another page.
+func (b *batch) move(id protocol.MachineID, page bk.PageID) {
+	r := b.machine(id)
+	b.drop(id)
+	b.put(page, id, r)
+}
+
+// gone tells whether the batch takes the machine off the records.
+func (b *batch) gone(id protocol.MachineID) bool {
+	e := b.c.mir.Machines[id]
+	if e == nil || b.machines[id] != nil {
+		return false
+	}
+	d := b.pages[e.Rec.Page]
+	return d != nil && !slices.Contains(d.ids, id)
+}
+
+// assign writes tasks of a job to a machine; the caller has asked for room.
+func (b *batch) assign(id protocol.MachineID, job protocol.JobID, pieces []int, try protocol.Attempt) {
+	r := b.machine(id)
+	for _, p := range pieces {
+		r.Assign(protocol.Task{Job: job, Piece: p}, try)
+	}
+	b.page(r.Page).size += 24 + 3*len(pieces)
+	b.bytes += 24 + 3*len(pieces)
+}
+
+// nudge raises the machine's own part of its baton: its owner sends it to the
+// worker, and the worker reports at once, instead of some seconds later.
+func (b *batch) nudge(id protocol.MachineID) {
+	if r := b.machine(id); r.Bump < bk.MaxBump {
+		r.Bump++
+		r.Baton = r.Epoch.Baton(r.Bump)
+	}
+}
+
+// roomy tells whether the machine's page can take more assignments: a page
+// stays well within a value, so that whatever ends there can be written.
+func (b *batch) roomy(r *bk.MachineRecord) bool {
+	size := 0
+	if d := b.pages[r.Page]; d != nil {
+		size = d.size
+	} else if p := b.c.mir.Pages[r.Page]; p != nil {
+		size = p.Size
+	}
+	return size < b.c.cfg.ValueBytes*7/8
+}
+
+// taskDone notes on the machine's page that a task is done; the caller has
+// asked for room for the page.
+func (b *batch) taskDone(id protocol.MachineID, t protocol.Task) {
+	d := b.page(b.viewMachine(id).Page)
+	if r, ok := d.done[t.Job]; ok {
+		d.done[t.Job] = r.Add(t.Piece)
+	} else {
+		d.done[t.Job] = bk.Range(t.Piece, t.Piece)
+		d.size += 16
+	}
+	d.size += 4
+	b.bytes += 4
+	b.done[t.Job] = b.done[t.Job].Add(t.Piece)
+}
+
+// viewDone is what is done of a job as the batch leaves it.
+func (b *batch) viewDone(id protocol.JobID) bk.Ranges {
+	r := b.c.mir.Done(id)
+	if more, ok := b.done[id]; ok {
+		r = r.Union(more)
+	}
+	return r
+}
+
+// finish calls a job done once all its tasks are.
+func (b *batch) finish(id protocol.JobID) {
+	if r := b.viewJob(id); r.Stage.Final() || b.viewDone(id).Len() < r.Desc.Pieces || !b.hasRoom(b.needs("", id)) {
+		return
+	}
+	r := b.job(id)
+	b.log(slog.LevelInfo, "job done", "job", string(id), "lane", r.Desc.Lane, "after_s", float64(b.c.now.Wall-r.Sent)/1000)
+	*r = bk.JobRecord{Stage: protocol.Done, Count: r.Desc.Pieces, Sent: r.Sent}
+	for _, d := range b.pages {
+		delete(d.done, id)
+	}
+}
+
+// settleDone moves what is done from own pages to the jobs' records: where a
+// page fills up, or has no machines left.
+func (c *Core) settleDone(b *batch) {
+	for _, id := range sorted(c.mir.Open) {
+		if j, e := c.jstate(id), c.mir.Open[id]; c.mir.Done(id).Len() < e.Rec.Desc.Pieces {
+			j.completeAt = 0
+		} else if j.completeAt == 0 && e.Rec.Claim != c.run {
+			j.completeAt = c.now.Steady // its claimant writes it, if it lives
+		} else if e.Rec.Claim == c.run || c.since(j.completeAt) > 1500*time.Millisecond {
+			b.finish(id)
+		}
+	}
+	for _, id := range c.ownPages() {
+		p := c.mir.Pages[id]
+		if len(p.Done) == 0 || p.Size < c.cfg.ValueBytes*3/4 && len(p.Machines) > 0 || b.pages[id] == nil && !b.hasRoom(2) {
+			continue
+		}
+		d := b.page(id)
+		for _, j := range sorted(d.done) {
+			if c.mir.Jobs[j] == nil || !b.hasRoom(b.needs("", j)) {
+				continue
+			}
+			if r := b.job(j); !r.Stage.Final() {
+				r.Done = r.Done.Union(d.done[j])
+			}
+			delete(d.done, j)
+		}
+	}
+}
+
+// needs counts the records that a change would add to the batch.
+func (b *batch) needs(m protocol.MachineID, jobs ...protocol.JobID) int {
+	n := 0
+	if e := b.c.mir.Machines[m]; m != "" && b.machines[m] == nil && (e == nil || b.pages[e.Rec.Page] == nil) {
+		n++
+	}
+	for _, j := range jobs {
+		if b.jobs[j] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// fits tells whether the pages of these machines and one job can be written
+// besides what is in the batch; alone is how many changes they are where an empty
+// batch could take them.
+func (b *batch) fits(machines []protocol.MachineID) (fits bool, alone int) {
+	seen := map[bk.PageID]bool{}
+	n, size, all, whole := 1, b.c.cfg.ValueBytes, 1, b.c.cfg.ValueBytes
+	for _, id := range machines {
+		p := b.c.mir.Machines[id].Rec.Page
+		if seen[p] {
+			continue
+		}
+		seen[p] = true
+		s := b.c.mir.Pages[p].Size + pageSlack
+		all, whole = all+1, whole+s
+		if b.pages[p] == nil {
+			n, size = n+1, size+s
+		}
+	}
+	if all <= b.c.cfg.TxnOps*3/4 && whole <= protocol.MaxTxnSize {
+		alone = all
+	}
+	return b.room >= n && b.bytes+size <= protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps, alone
+}
+
+// viewMachine is the record as the batch leaves it.
+func (b *batch) viewMachine(id protocol.MachineID) *bk.MachineRecord {
+	if r := b.machines[id]; r != nil {
+		return r
+	}
+	if e := b.c.mir.Machines[id]; e != nil {
+		return &e.Rec
+	}
+	return nil
+}
+
+// viewJob is the record as the batch leaves it.
+func (b *batch) viewJob(id protocol.JobID) *bk.JobRecord {
+	if r := b.jobs[id]; r != nil {
+		return r
+	}
+	if e := b.c.mir.Jobs[id]; e != nil {
+		return &e.Rec
+	}
+	return nil
+}
+
+// log notes a decision; the operator reads it once the decision is on record.
+// A transaction that is refused is built again, with the same lines.
+func (b *batch) log(l slog.Level, msg string, args ...any) {
+	b.logs = append(b.logs, Log{l, msg, args})
+}
+
+func (b *batch) empty() bool { return len(b.jobs) == 0 && len(b.pages) == 0 }
+
+func (b *batch) multi() protocol.Multi {
+	var m protocol.Multi
+	for _, k := range sorted(b.when) {
+		m.When = append(m.When, protocol.When{Key: k, Stamp: b.when[k]})
+	}
+	for _, id := range sorted(b.jobs) {
+		m.Then = append(m.Then, protocol.Then{Put: bk.JobKey(id), Data: bk.JSON(b.jobs[id])})
+	}
+	for _, id := range sorted(b.pages) {
+		d := b.pages[id]
+		if len(d.ids) == 0 && len(d.done) == 0 {
+			if b.when[bk.PageKey(id)] != 0 {
+				m.Then = append(m.Then, protocol.Then{Delete: bk.PageKey(id)})
+			}
+			continue
+		}
+		lines := make([]string, len(d.ids))
+		for i, x := range d.ids {
+			if r := b.machines[x]; r != nil {
+				lines[i] = r.Line(x)
+			} else {
+				lines[i] = b.c.mir.Line(x)
+			}
+		}
+		m.Then = append(m.Then, protocol.Then{Put: bk.PageKey(id), Data: bk.EncodePage(d.owner, d.epoch, lines, d.done)})
+	}
+	if b.roll {
+		m.Then = append(m.Then, protocol.Then{Put: bk.RollKey, Data: bk.JSON(bk.RollRecord{By: b.c.run})})
+	}
+	for _, t := range sorted(b.teams) {
+		m.Then = append(m.Then, protocol.Then{Put: bk.TeamKey(t), Data: bk.JSON(bk.TeamRecord{By: b.c.run, N: b.c.txID})})
+	}
+	return m
+}
+
+// lineSize is what a machine of a type is reckoned to take of a page: more
+// cores have more assignments.
+func (c *Core) lineSize(s protocol.Sku) int {
+	cores := 4.0
+	if f := c.flavor(s); f != nil {
+		cores = f.Cores
+	}
+	return 64 + 18*int(min(max(cores, 2), 20))
+}
+
+func (b *batch) pageLoad(ids []protocol.MachineID) int {
+	n := 0
+	for _, id := range ids {
+		if r := b.viewMachine(id); r != nil {
+			n += b.c.lineSize(r.Build)
+		}
+	}
+	return n
+}
+
+// ownPages lists the pages of this run.
+func (c *Core) ownPages() []bk.PageID {
+	return pick(c.mir.Pages, func(p *bk.Page) bool { return c.run != "" && p.Owner == c.run })
+}
+
+// splitPages cuts own pages in two that come near the size of a value.
+func (c *Core) splitPages(b *batch) {
+	for _, id := range c.ownPages() {
+		p := c.mir.Pages[id]
+		if p.Size < c.cfg.ValueBytes*15/16 || len(p.Machines) < 2 || b.pages[id] != nil || !b.hasRoom(2) {
+			continue
+		}
+		b.page(id)
+		to := b.newPage(p.Owner, p.Epoch)
+		for _, m := range p.Machines[len(p.Machines)/2:] {
+			b.move(m, to)
+		}
+	}
+}
