--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -7,7 +7,6 @@
 	"sort"
 	"time"
 
-	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
 
