--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -48,8 +48,8 @@
 				best = nil
 			}
 		}
-	} else if best != nil && (c.slow(best, d, true) && c.cheapestRoom(q, rooms, zones, left, true) != nil ||
-		c.slow(best, d, false) && c.cheapestRoom(q, rooms, zones, left, false) != nil) {
+	} else if best != nil && (c.recordable(best) && (c.slow(best, d, true) && c.cheapestRoom(q, rooms, zones, left, true) != nil ||
+		c.slow(best, d, false) && c.cheapestRoom(q, rooms, zones, left, false) != nil)) {
 		best = nil
 	}
 	if best == nil {
@@ -229,6 +229,9 @@
 		if got = c.cheapestRoom(q, rooms, zones, n, true); got == nil {
 			got = c.cheapestRoom(q, rooms, zones, n, false)
 		}
+		if !c.recordable(got) {
+			got = nil
+		}
 		if got == nil {
 			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
 		} else if b.hasRoom(b.needs("", q.id)) {
@@ -308,7 +311,7 @@
 			}
 		}
 		slices.SortStableFunc(list, func(a, z *room) int { return cmp.Compare(cost[a], cost[z]) })
-		if got = pick(list); got == nil {
+		if got = pick(list); got == nil || !c.recordable(got) {
 			return false
 		}
 		r := b.job(q.id)
@@ -335,6 +338,10 @@
 	return 0
 }
 
+// recordable tells whether a choice of machines fits the job's record. One that
+// does not would be refused with all else that is in its transaction.
+func (c *Core) recordable(s []share) bool { return len(s) <= (c.cfg.ValueBytes-1500)/14 }
+
 // freeable tells how many tasks of the gang fit once what ranks lower is gone.
 func (c *Core) freeable(r *room, q *queued) int {
 	if r.coming {
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -332,3 +332,24 @@
 		}
 	}
 }
+
+// A gang of more machines than a value could list neither blocks what else is to
+// be written nor is it forgotten.
+func TestGangTooLargeToList(t *testing.T) {
+	w := NewWorld(71, 1, testFlavors[:1], testTeams())
+	w.NoHire = true
+	w.State.Value, w.Config.ValueBytes = 2048, 2048
+	w.Config.IdleFactor = 100
+	w.Nodes[0].Start()
+	for i := 0; i < 200; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	w.At(6*time.Second, func() { w.Submit(array("j-1", "l", "low", 200, 4, 15)) })
+	w.At(16*time.Second, func() { w.Submit(gang("j-2", "g", "high", 190, 4, 5)) })
+	w.At(18*time.Second, func() { w.Submit(array("j-3", "l", "low", 4, 4, 5)) })
+	w.Run(150 * time.Second)
+	w.Rules.End(w.Now)
+	if w.State.Over > 0 || len(w.Done) != 3 || len(w.Rules.Broken) > 0 {
+		t.Errorf("%d transactions too large, done %v, broken %v", w.State.Over, w.Done, w.Rules.Broken)
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -22,9 +22,10 @@
 
 // State is the state service.
 type State struct {
-	Down bool // outage: everything is answered with 503
-	Over int  // transactions refused for their size
-	Max  int  // the largest value that was written
+	Down  bool // outage: everything is answered with 503
+	Over  int  // transactions refused for their size
+	Value int  // the largest value it takes
+	Max   int  // the largest value that was written
 
 	rev    protocol.Rev
 	items  map[string]item
@@ -37,7 +38,7 @@
 
 // NewState makes an empty store that keeps the given number of changes.
 func NewState(kept int) *State {
-	return &State{items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
+	return &State{Value: 8192, items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
 }
 
 func (s *State) stamp(key string) protocol.Stamp { return s.items[key].stamp }
@@ -80,7 +81,7 @@
 	for _, t := range m.Then {
 		size += len(t.Data) + len(t.Put)
 		s.Max = max(s.Max, len(t.Data))
-		if len(t.Data) > 8192 {
+		if len(t.Data) > s.Value {
 			size = 1 << 20
 		}
 	}
