Read once more: one walk over a job's assignments, one check of room, one way to write a choice

Behaviour is the same. Four loops over a machine's assignments for one job are MachineRecord.Of; hasRoom and fits share takes; makeRoom and reserve share writeRoom, roomKept and reserve share chosen.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"strings"
 
 	"tillerarch/internal/protocol"
@@ -107,6 +108,17 @@
 	return 0, false
 }
 
+// Of gives the assignments of one job.
+func (m *MachineRecord) Of(job protocol.JobID) iter.Seq[*Assigned] {
+	return func(yield func(*Assigned) bool) {
+		for i := range m.Assigned {
+			if a := &m.Assigned[i]; a.Job == job && !yield(a) {
+				return
+			}
+		}
+	}
+}
+
 // Assign adds a task.
 func (m *MachineRecord) Assign(t protocol.Task, try protocol.Attempt) {
 	for i := range m.Assigned {
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -55,7 +55,12 @@
 
 // hasRoom tells whether n more records can be changed, however large they are.
 func (b *batch) hasRoom(n int) bool {
-	return n == 0 && b.bytes < protocol.MaxTxnSize || b.room >= n && b.bytes+n*b.c.cfg.ValueBytes <= protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
+	return n == 0 && b.bytes < protocol.MaxTxnSize || b.takes(n, n*b.c.cfg.ValueBytes)
+}
+
+// takes tells whether n more records of this size together can be changed.
+func (b *batch) takes(n, size int) bool {
+	return b.room >= n && b.bytes+size <= protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps
 }
 
 // job gives a job's record to change; the caller has asked for room.
@@ -310,7 +315,7 @@
 	if all <= b.c.cfg.TxnOps*3/4 && whole <= protocol.MaxTxnSize {
 		alone = all
 	}
-	return b.room >= n && b.bytes+size <= protocol.MaxTxnSize && len(b.when)+2*n < 4*b.c.cfg.TxnOps, alone
+	return b.takes(n, size), alone
 }
 
 // viewMachine is the record as the batch leaves it.
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -374,8 +374,8 @@
 		if m.Rec.Releasing {
 			continue
 		}
-		for i := range m.Rec.Assigned {
-			if a := &m.Rec.Assigned[i]; a.Job == id && a.Try == try {
+		for a := range m.Rec.Of(id) {
+			if a.Try == try {
 				have = have.Union(a.Pieces)
 			}
 		}
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -235,12 +235,7 @@
 		if got == nil {
 			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
 		} else if b.hasRoom(b.needs("", q.id)) {
-			r := b.job(q.id)
-			r.Room = nil
-			for _, s := range got {
-				r.Room = append(r.Room, s.r.id)
-			}
-			b.log(slog.LevelInfo, "room is made for a gang", "job", string(q.id), "machines", r.Room)
+			b.writeRoom(q.id, got, "room is made for a gang")
 		}
 	}
 	written := c.mir.Jobs[q.id].Rec.Room
@@ -291,13 +286,7 @@
 		}
 		return nil
 	}
-	var kept []*room
-	for _, r := range rooms {
-		if slices.Contains(q.rec.Room, r.id) {
-			kept = append(kept, r)
-		}
-	}
-	got := pick(kept)
+	got := pick(q.chosen(rooms))
 	if got == nil {
 		if !c.ours(b, q) || !b.hasRoom(b.needs("", q.id)) {
 			return false
@@ -314,12 +303,7 @@
 		if got = pick(list); got == nil || !c.recordable(got) {
 			return false
 		}
-		r := b.job(q.id)
-		r.Room = nil
-		for _, s := range got {
-			r.Room = append(r.Room, s.r.id)
-		}
-		b.log(slog.LevelInfo, "machines are kept for a job that has waited long", "job", string(q.id), "machines", r.Room)
+		b.writeRoom(q.id, got, "machines are kept for a job that has waited long")
 	}
 	c.planned.reserved[q.order] = true
 	for _, s := range got {
@@ -338,6 +322,21 @@
 	return 0
 }
 
+// writeRoom puts a choice of machines on record; the caller has asked for room.
+func (b *batch) writeRoom(id protocol.JobID, choice []share, why string) {
+	r := b.job(id)
+	r.Room = nil
+	for _, s := range choice {
+		r.Room = append(r.Room, s.r.id)
+	}
+	b.log(slog.LevelInfo, why, "job", string(id), "machines", r.Room)
+}
+
+// chosen lists the machines of the choice on record.
+func (q *queued) chosen(rooms []*room) []*room {
+	return slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return !slices.Contains(q.rec.Room, r.id) })
+}
+
 // recordable tells whether a choice of machines fits the job's record. One that
 // does not would be refused with all else that is in its transaction.
 func (c *Core) recordable(s []share) bool { return len(s) <= (c.cfg.ValueBytes-1500)/14 }
@@ -359,13 +358,7 @@
 	if len(q.rec.Room) == 0 {
 		return nil
 	}
-	var list []*room
-	for _, r := range rooms {
-		if slices.Contains(q.rec.Room, r.id) {
-			list = append(list, r)
-		}
-	}
-	return c.gangShares(nil, q, list, "", n, func(r *room) int { return c.freeable(r, q) })
+	return c.gangShares(nil, q, q.chosen(rooms), "", n, func(r *room) int { return c.freeable(r, q) })
 }
 
 // cheapestRoom chooses the machines on which the least work is lost.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -566,10 +566,8 @@
 func (c *Core) openTasks(b *batch, q *queued, max int) []int {
 	have := b.viewDone(q.id)
 	add := func(rec *bk.MachineRecord) {
-		for i := range rec.Assigned {
-			if a := &rec.Assigned[i]; a.Job == q.id {
-				have = have.Union(a.Pieces)
-			}
+		for a := range rec.Of(q.id) {
+			have = have.Union(a.Pieces)
 		}
 	}
 	for id := range c.mir.On(q.id) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -56,11 +56,8 @@
 	running := 0
 	if !r.Stage.Final() {
 		for mid := range c.mir.On(id) {
-			m := c.mir.Machines[mid]
-			for i := range m.Rec.Assigned {
-				if as := &m.Rec.Assigned[i]; as.Job == id {
-					running += as.Pieces.Len()
-				}
+			for as := range c.mir.Machines[mid].Rec.Of(id) {
+				running += as.Pieces.Len()
 			}
 		}
 		a.Stage = protocol.Queued
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -70,10 +70,8 @@
 		if b != nil {
 			r = b.viewMachine(mid)
 		}
-		for i := range r.Assigned {
-			if a := &r.Assigned[i]; a.Job == id {
-				try = max(try, a.Try)
-			}
+		for a := range r.Of(id) {
+			try = max(try, a.Try)
 		}
 	}
 	return try
