--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -236,8 +236,11 @@
 		asked := d.now().Steady
 		hosts, err := d.list()
 		d.tell(coordination.ListResult{Asked: asked, Hosts: hosts, Err: err})
+	case coordination.SendShow:
+		r, err := d.worker("GET", protocol.PathShow, v.Addr, nil)
+		d.tell(coordination.DoResult{Machine: v.Machine, Report: r, Err: err})
 	case coordination.SendDo:
-		r, err := d.do(v)
+		r, err := d.worker("POST", protocol.PathDo, v.Addr, v.Orders.Encode())
 		d.tell(coordination.DoResult{Machine: v.Machine, Report: r, Err: err})
 	default:
 		slog.Error("effect without a hand", "type", fmt.Sprintf("%T", e))
@@ -316,9 +319,10 @@
 	}
 }
 
-func (d *daemon) do(v coordination.SendDo) (*protocol.Report, error) {
+// worker calls a worker's own address; the answer is its report.
+func (d *daemon) worker(method, path, addr string, body []byte) (*protocol.Report, error) {
 	d.workers.Lock()
-	c := d.workers.clients[v.Addr]
+	c := d.workers.clients[addr]
 	if c == nil {
 		if len(d.workers.clients) > 200 {
 			for a, old := range d.workers.clients {
@@ -326,11 +330,11 @@
 				delete(d.workers.clients, a)
 			}
 		}
-		c = transport.NewClient(v.Addr, 1, nil)
-		d.workers.clients[v.Addr] = c
+		c = transport.NewClient(addr, 1, nil)
+		d.workers.clients[addr] = c
 	}
 	d.workers.Unlock()
-	a, err := c.Call("POST", protocol.PathDo, v.Orders.Encode(), workerWait)
+	a, err := c.Call(method, path, body, workerWait)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -96,7 +96,7 @@
 		Member: protocol.Member(p.Member), Teams: map[string]coordination.Team{},
 		Report: protocol.Seconds(w.ReportS), Lease: protocol.Seconds(w.LeaseS),
 		GangPeer: protocol.Seconds(w.GangPeerS), Cancel: protocol.Seconds(w.CancelS),
-		WriteRPS: p.Params.State.WriteRPS, TxnOps: p.Params.State.TxnOps, ValueBytes: int(p.Params.State.ValueKB * 1024),
+		Peers: len(p.Members), WriteRPS: p.Params.State.WriteRPS, TxnOps: p.Params.State.TxnOps, ValueBytes: int(p.Params.State.ValueKB * 1024),
 		ListLag: protocol.Seconds(p.Params.Cloud.ListLagS), Seed: h.Sum64() ^ uint64(time.Now().UnixNano()),
 		FollowGap: time.Duration(n / (0.4 * s.stateRPS) * float64(time.Second)), Tuning: tuning,
 	}
@@ -182,6 +182,7 @@
 		"paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery, "list.silent": &t.ListSilent,
+		"age.after": &t.AgeAfter,
 	}
 	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss, "idle.factor": &t.IdleFactor}
 	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.HireCap}
--- /dev/null
+++ b/internal/bookkeeping/pages.go
@@ -0,0 +1,95 @@
+package bookkeeping
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"tillerarch/internal/protocol"
+)
+
+// PageID names a page: "stall-0#7-3".
+type PageID string
+
+// Machines are kept on pages, many to a key: where a thousand of them stand
+// against 40 changes a second, a change for each would be the whole budget.
+// One run owns all machines of a page, under one baton, so that a takeover is
+// one change however many machines there are.
+type pageForm struct {
+	Owner    Run            `json:"o"`
+	Baton    protocol.Baton `json:"b"`
+	Machines []string       `json:"m"` // a line each, see Line
+	// Tasks that are done and that their jobs' records do not have yet: while
+	// an array runs, its own record need not be written with every page.
+	Done map[protocol.JobID]Ranges `json:"d,omitempty"`
+}
+
+// EncodePage gives a page's written form.
+func EncodePage(owner Run, baton protocol.Baton, lines []string, done map[protocol.JobID]Ranges) json.RawMessage {
+	return JSON(pageForm{owner, baton, lines, done})
+}
+
+// Line gives a machine's written form: fields with a blank between them.
+func (m *MachineRecord) Line(id protocol.MachineID) string {
+	var b strings.Builder
+	flags := ""
+	for _, f := range []struct {
+		on   bool
+		name string
+	}{{m.Loaner, "l"}, {m.Releasing, "r"}, {m.Drain, "x"}} {
+		if f.on {
+			flags += f.name
+		}
+	}
+	b.WriteString(string(id))
+	for _, s := range [...]string{url.QueryEscape(m.Addr), url.QueryEscape(string(m.Build)), url.QueryEscape(string(m.Yard)),
+		strconv.FormatInt(int64(m.Since), 36), strconv.FormatUint(uint64(m.Shift), 10), flags} {
+		b.WriteByte(' ')
+		if s == "" {
+			s = "-"
+		}
+		b.WriteString(s)
+	}
+	for i := range m.Assigned {
+		a := &m.Assigned[i]
+		fmt.Fprintf(&b, " %s.%d.%s", a.Job, a.Try, a.Pieces)
+	}
+	return b.String()
+}
+
+// parseLine reads a machine's written form.
+func parseLine(line string) (id protocol.MachineID, m MachineRecord, err error) {
+	f := strings.Split(line, " ")
+	if len(f) < 7 {
+		return "", m, fmt.Errorf("malformed machine %q", line)
+	}
+	var text [3]string
+	for i := range text {
+		if f[1+i] != "-" && err == nil {
+			text[i], err = url.QueryUnescape(f[1+i])
+		}
+	}
+	since, err1 := strconv.ParseInt(f[4], 36, 64)
+	shift, err2 := strconv.ParseUint(f[5], 10, 64)
+	id = protocol.MachineID(f[0])
+	if err != nil || err1 != nil || err2 != nil || !id.Valid() {
+		return "", m, fmt.Errorf("malformed machine %q", line)
+	}
+	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Shift: protocol.Shift(shift),
+		Loaner: strings.Contains(f[6], "l"), Releasing: strings.Contains(f[6], "r"), Drain: strings.Contains(f[6], "x")}
+	for _, s := range f[7:] {
+		p := strings.Split(s, ".")
+		if len(p) != 3 {
+			return "", m, fmt.Errorf("malformed assignment %q", s)
+		}
+		try, err := strconv.ParseUint(p[1], 10, 64)
+		a := Assigned{Job: protocol.JobID(p[0]), Try: protocol.Attempt(try)}
+		if err != nil || !a.Job.Valid() || a.Pieces.UnmarshalText([]byte(p[2])) != nil || a.Pieces.IsZero() {
+			return "", m, fmt.Errorf("malformed assignment %q", s)
+		}
+		m.Assigned = append(m.Assigned, a)
+	}
+	return id, m, nil
+}
--- /dev/null
+++ b/internal/coordination/beats.go
@@ -0,0 +1,418 @@
+package coordination
+
+import (
+	"log/slog"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+func (c *Core) redirect(req ReqID, to protocol.Member) {
+	c.reply(req, 421, protocol.Foreman{Foreman: to})
+}
+
+// beat handles a worker's report.
+func (c *Core) beat(v BeatInput) {
+	r, err := protocol.ParseReport(v.Body)
+	if err != nil {
+		c.reply(v.Req, 400, errorBody{err.Error()})
+		return
+	}
+	if !c.loaded {
+		c.reply(v.Req, 503, errorBody{"not ready"})
+		return
+	}
+	e := c.mir.Machines[r.Stall]
+	if e == nil || !c.mine(&e.Rec) {
+		switch {
+		case e != nil && c.mir.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
+			c.strayed[r.Stall] = stray{c.now.Steady, r.Shift, r.Tally}
+			c.redirect(v.Req, e.Rec.Owner.Member())
+		case c.stateDown() || !c.registered():
+			c.redirect(v.Req, "")
+		default:
+			m := c.mstate(r.Stall)
+			if older(r, m.beatShift, m.beatTally) || e != nil && r.Shift < e.Rec.Shift {
+				c.redirect(v.Req, "") // a late copy
+				return
+			}
+			c.dropHeld(m)
+			m.take(r, c.now.Steady)
+			m.beatShift, m.beatTally = r.Shift, r.Tally
+			c.keep(m, v.Req, true)
+			if e == nil {
+				// It may be a copy that outlived its machine. Only a worker that
+				// answers shows that there still is one.
+				c.show(m, r.Addr)
+			}
+		}
+		return
+	}
+	if r.Baton > e.Rec.Baton {
+		// Someone else is entitled by now, whatever the mirror says.
+		c.redirect(v.Req, "")
+		return
+	}
+	m := c.own(e, r.Stall)
+	if older(r, m.beatShift, m.beatTally) || r.Shift < e.Rec.Shift {
+		c.redirect(v.Req, "") // delivered late; its worker has long gone on
+		return
+	}
+	c.dropHeld(m)
+	m.beatShift, m.beatTally = r.Shift, r.Tally
+	c.heed(e, m, r)
+	// One report is in flight at a time: the last answer has been carried out
+	// or dropped by now.
+	clear(m.inflight)
+	if m.rep == nil || !older(r, m.rep.Shift, m.rep.Tally) {
+		m.take(r, c.now.Steady)
+	}
+	m.heardAt = c.now.Steady
+	c.keep(m, v.Req, false)
+	if !c.holdBeat(e, m) {
+		c.answerBeat(e, m)
+	}
+}
+
+// keep lets a report wait for its answer.
+func (c *Core) keep(m *mstate, req ReqID, adopt bool) {
+	m.held, m.heldAt, m.adopt = req, c.now.Steady, adopt
+	c.holding[m.id] = true
+	if adopt {
+		c.adopting[m.id] = true
+	}
+}
+
+// unhold gives the waiting report to whoever answers it now.
+func (c *Core) unhold(m *mstate) ReqID {
+	req := m.held
+	m.held = 0
+	delete(c.holding, m.id)
+	delete(c.adopting, m.id)
+	return req
+}
+
+func (c *Core) dropHeld(m *mstate) {
+	if m.held != 0 {
+		c.redirect(c.unhold(m), "")
+	}
+}
+
+// heed notices a worker whose reports arrive while answers do not reach it: it
+// does not show the baton, nor the starts, that earlier answers had.
+func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
+	if !m.owed || r.Shift != m.owedShift {
+		// A session that ended although its reports were answered says the same.
+		if m.owedShift != 0 && r.Shift > m.owedShift && m.baton == e.Rec.Baton && c.since(m.answered) < c.cfg.Lease {
+			m.unheard++
+		}
+	} else if r.Baton < e.Rec.Baton || !m.showsStarts(r) {
+		m.unheard++
+	} else {
+		m.unheard = 0
+	}
+	m.owed, m.owedShift = false, r.Shift
+	if m.unheard >= 2 && m.deafAt == 0 {
+		m.deafAt = c.now.Steady
+		c.log(slog.LevelWarn, "answers do not reach the machine", "machine", string(m.id), "answers", m.unheard)
+	}
+	if m.unheard == 0 {
+		m.deafAt = 0
+	}
+}
+
+// showsStarts tells whether the report shows any start that was on its way.
+func (m *mstate) showsStarts(r *protocol.Report) bool {
+	if len(m.inflight) == 0 {
+		return true
+	}
+	for i := range r.Pieces {
+		if try, ok := m.inflight[r.Pieces[i].Task]; ok && try == r.Pieces[i].Try {
+			return true
+		}
+	}
+	return false
+}
+
+// deaf tells whether what is sent to the worker is known not to arrive.
+func (m *mstate) deaf() bool { return m.deafAt != 0 }
+
+// holdBeat tells whether the answer should wait a moment for a write, so that
+// it can carry the starts that take the place of what has ended.
+func (c *Core) holdBeat(e *bk.Machine, m *mstate) bool {
+	if c.stateDown() || !c.registered() {
+		return false
+	}
+	r := m.rep
+	if m.deaf() || m.confirmed < e.Rec.Baton {
+		return false
+	}
+	if c.since(m.heldAt) >= c.cfg.BeatHold {
+		return c.holdIdle(e, m)
+	}
+	if r.Shift != e.Rec.Shift {
+		return r.Baton == e.Rec.Baton || e.Rec.Shift == 0
+	}
+	if r.Baton != e.Rec.Baton {
+		return false
+	}
+	for i := range r.Pieces {
+		p := &r.Pieces[i]
+		if p.Stage == protocol.Ended {
+			if try, ok := e.Rec.Attempt(p.Task); ok && try == p.Try {
+				return true
+			}
+		}
+	}
+	return c.holdIdle(e, m)
+}
+
+// holdIdle tells whether the answer to a machine with room waits for something
+// to do: a start that is written meanwhile goes out at once instead of with the
+// next report. The worker waits longer than that for an answer. While tasks
+// run there it waits only where reports are so far apart that it pays.
+func (c *Core) holdIdle(e *bk.Machine, m *mstate) bool {
+	r, rec := m.rep, &e.Rec
+	if c.since(m.heldAt) >= c.cfg.IdleHold || !c.fresh() || r.Baton != rec.Baton || r.Shift != rec.Shift || r.RecallS != nil ||
+		rec.Releasing || rec.Drain {
+		return false
+	}
+	if len(r.Pieces) == 0 && len(rec.Assigned) == 0 {
+		return true
+	}
+	if c.cfg.Report < 2*c.cfg.IdleHold {
+		return false
+	}
+	fl := c.flavor(rec.Build)
+	if fl == nil {
+		return false
+	}
+	free := fl.Cores
+	for i := range rec.Assigned {
+		j := c.mir.Jobs[rec.Assigned[i].Job]
+		if j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() {
+			return false
+		}
+		free -= float64(rec.Assigned[i].Pieces.Len()) * j.Rec.Desc.Cores
+		if !c.allShown(m, &rec.Assigned[i]) {
+			return false // there is something to start
+		}
+	}
+	for i := range r.Pieces {
+		if p := &r.Pieces[i]; p.Stage == protocol.Ended {
+			return false // to be reaped
+		}
+	}
+	return free >= fl.Cores/3
+}
+
+// allShown tells whether the report shows all tasks of an assignment.
+func (c *Core) allShown(m *mstate, a *bk.Assigned) bool {
+	all := true
+	a.Pieces.Each(func(n int) bool {
+		p := m.byTask[protocol.Task{Job: a.Job, Piece: n}]
+		all = p != nil && p.Try == a.Try
+		return all
+	})
+	return all
+}
+
+func (c *Core) settleBeats() {
+	if !c.stirred {
+		return
+	}
+	c.stirred = false
+	for _, id := range sorted(c.holding) {
+		m := c.machines[id]
+		e := c.mir.Machines[id]
+		if m.adopt {
+			switch {
+			case e != nil && c.mine(&e.Rec):
+				m.adopt = false
+				delete(c.adopting, id)
+				c.own(e, id)
+				if m.rep.Baton > e.Rec.Baton || m.rep.Shift < e.Rec.Shift {
+					c.dropHeld(m)
+				} else {
+					c.answerBeat(e, m)
+				}
+			case e != nil && c.mir.Alive(e.Rec.Owner):
+				c.redirect(c.unhold(m), e.Rec.Owner.Member())
+			case c.stateDown() || c.since(m.heldAt) > 2500*time.Millisecond:
+				c.dropHeld(m)
+			}
+			continue
+		}
+		if e == nil || !c.mine(&e.Rec) || m.rep.Baton > e.Rec.Baton {
+			c.dropHeld(m)
+		} else if !c.holdBeat(e, m) {
+			c.answerBeat(e, m)
+		}
+	}
+}
+
+// answerBeat answers the report that is held: 200 with the orders.
+func (c *Core) answerBeat(e *bk.Machine, m *mstate) {
+	orders := c.orders(e, m, true)
+	for _, o := range orders {
+		if o.Verb == protocol.Start {
+			m.inflight[o.Task] = o.Try
+		}
+	}
+	m.owed = len(m.inflight) > 0 || m.rep.Baton < e.Rec.Baton
+	o := protocol.Orders{Baton: e.Rec.Baton, Orders: orders}
+	c.emit(Reply{Req: c.unhold(m), Status: 200, Body: o.Encode()})
+	if m.heldAt > m.answered {
+		m.answered, m.baton = m.heldAt, e.Rec.Baton
+	}
+}
+
+// orders lists what the worker is to do. Starts and reaps go into answers to
+// reports only: those are never carried out late.
+func (c *Core) orders(e *bk.Machine, m *mstate, inAnswer bool) []protocol.Order {
+	var out []protocol.Order
+	rep, rec := m.rep, &e.Rec
+	proven := m.proven(rec) != nil
+	fresh := c.fresh()
+	for i := range rep.Pieces {
+		p := &rep.Pieces[i]
+		try, ok := rec.Attempt(p.Task)
+		assigned := ok && try == p.Try
+		if p.Stage == protocol.Ended {
+			if inAnswer && proven && !assigned && fresh {
+				out = append(out, protocol.Order{Verb: protocol.Reap, Task: p.Task, Try: p.Try})
+			}
+			continue
+		}
+		grace := -1.0
+		if s, ok := m.stops[p.Task]; ok && s.try == p.Try {
+			if p.Stage != protocol.Flushing || s.grace == 0 {
+				grace = s.grace
+			}
+		}
+		j := c.mir.Jobs[p.Task.Job]
+		if !assigned && fresh || j != nil && j.Rec.Stage == protocol.Withdrawn {
+			grace = 0
+		}
+		if grace >= 0 {
+			g := grace
+			out = append(out, protocol.Order{Verb: protocol.Stop, Task: p.Task, Try: p.Try, WindDownS: &g})
+		}
+	}
+	if !inAnswer || !fresh || rep.Shift != rec.Shift || rec.Releasing || m.deaf() {
+		return out
+	}
+	for i := range rec.Assigned {
+		a := &rec.Assigned[i]
+		j := c.mir.Jobs[a.Job]
+		if j == nil || j.Rec.Stage.Final() || j.Rec.Halt >= a.Try && j.Rec.Halt > 0 {
+			continue
+		}
+		if j.Rec.Desc.Gang() && !c.gangWhole(a.Job, &j.Rec, a.Try) {
+			continue
+		}
+		a.Pieces.Each(func(n int) bool {
+			t := protocol.Task{Job: a.Job, Piece: n}
+			if p := m.byTask[t]; p != nil && (p.Try == a.Try || p.Stage != protocol.Ended || !proven) {
+				return true // here already, or an old attempt that must go first
+			}
+			if try, ok := m.barred[t]; ok && try >= a.Try {
+				return true
+			}
+			if _, ok := m.stops[t]; ok {
+				return true
+			}
+			out = append(out, protocol.Order{Verb: protocol.Start, Task: t, Try: a.Try})
+			return true
+		})
+	}
+	return out
+}
+
+// gangWhole tells whether every task of the gang is assigned with the attempt
+// or done: only then may any of them start.
+func (c *Core) gangWhole(id protocol.JobID, j *bk.JobRecord, try protocol.Attempt) bool {
+	have := c.mir.Done(id)
+	for mid := range c.mir.On(id) {
+		m := c.mir.Machines[mid]
+		if m.Rec.Releasing {
+			continue
+		}
+		for i := range m.Rec.Assigned {
+			if a := &m.Rec.Assigned[i]; a.Job == id && a.Try == try {
+				have = have.Union(a.Pieces)
+			}
+		}
+	}
+	return have.Len() == j.Desc.Pieces
+}
+
+// onDo takes the report that answers a direct command.
+func (c *Core) onDo(v DoResult) {
+	c.doing--
+	m := c.machines[v.Machine]
+	if m == nil {
+		return
+	}
+	m.doOut = false
+	e := c.mir.Machines[v.Machine]
+	if v.Err != nil || v.Report == nil || v.Report.Stall != v.Machine {
+		return
+	}
+	if e == nil && m.adopt {
+		if !older(v.Report, m.beatShift, m.beatTally) {
+			m.take(v.Report, c.now.Steady)
+			m.shown = true
+		}
+		return
+	}
+	if e == nil || !c.mine(&e.Rec) {
+		return
+	}
+	if m.rep == nil || !older(v.Report, m.rep.Shift, m.rep.Tally) {
+		m.take(v.Report, c.now.Steady)
+		// The way there works again.
+		m.unheard, m.deafAt, m.owed = 0, 0, false
+	}
+}
+
+// Direct commands under way at once: after a takeover there are hundreds of
+// workers to be told, and each call takes a socket.
+const maxDoing = 24
+
+// do sends a direct command, at most one at a time to a machine.
+func (c *Core) do(e *bk.Machine, m *mstate, orders []protocol.Order, again time.Duration) {
+	if m.doOut || m.doAt != 0 && c.since(m.doAt) < again || e.Rec.Addr == "" || len(orders) == 0 && c.doing >= maxDoing {
+		return
+	}
+	shift := e.Rec.Shift
+	if m.rep != nil && m.rep.Shift > shift {
+		shift = m.rep.Shift
+	}
+	if shift == 0 {
+		return
+	}
+	m.doOut, m.doAt = true, c.now.Steady
+	c.doing++
+	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{Baton: e.Rec.Baton, Shift: shift, Orders: orders}})
+}
+
+// show asks the worker of a machine that is on no record for its report.
+func (c *Core) show(m *mstate, addr string) {
+	if m.doOut || m.shown || addr == "" {
+		return
+	}
+	m.doOut, m.doAt = true, c.now.Steady
+	c.doing++
+	c.emit(SendShow{m.id, addr})
+}
+
+// stop notes that a task is to stop.
+func (c *Core) stop(m *mstate, t protocol.Task, try protocol.Attempt, grace float64, why string) {
+	if s, ok := m.stops[t]; ok && s.try == try && s.grace <= grace {
+		return
+	}
+	m.stops[t] = stopOrder{try, grace}
+	c.log(slog.LevelInfo, "task is stopped", "task", t.String(), "attempt", uint64(try), "machine", string(m.id), "why", why)
+}
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -136,7 +136,7 @@
 }
 
 // tickRelease decides whether an owned machine goes back, and why.
-func (c *Core) tickRelease(e *bk.Entry[bk.MachineRecord], m *mstate, cutOff bool) {
+func (c *Core) tickRelease(e *bk.Machine, m *mstate, cutOff bool) {
 	if e.Rec.Releasing {
 		if c.releasing[m.id] == nil && c.registered() {
 			c.releasing[m.id] = &release{}
@@ -146,7 +146,7 @@
 	m.leave = c.reasonToLeave(e, m, cutOff)
 }
 
-func (c *Core) reasonToLeave(e *bk.Entry[bk.MachineRecord], m *mstate, cutOff bool) string {
+func (c *Core) reasonToLeave(e *bk.Machine, m *mstate, cutOff bool) string {
 	rec := &e.Rec
 	fl := c.flavor(rec.Build)
 	age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
@@ -177,6 +177,9 @@
 	if quiet > c.cfg.Lease+c.cfg.SilentReturn && !cutOff && m.held == 0 {
 		return "silent"
 	}
+	if m.deaf() && c.since(m.deafAt) > c.cfg.Lease+c.cfg.SilentReturn {
+		return "answers do not reach it"
+	}
 	if m.faulty && len(rec.Assigned) == 0 {
 		return "faulty"
 	}
@@ -274,15 +277,14 @@
 	unknown := pick(c.listed, func(l *listing) bool { return c.mir.Machines[l.host.UID] == nil })
 	for _, id := range unknown {
 		l := c.listed[id]
-		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.hasRoom(1) || b.machines[id] != nil {
+		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.canAdd() || b.machines[id] != nil {
 			continue
 		}
-		if _, ok := c.released[id]; ok || !c.heir(bk.MachineKey(id)) || c.hiring(id) {
+		if _, ok := c.released[id]; ok || !c.heir(string(id)) || c.hiring(id) {
 			continue
 		}
-		b.open(bk.MachineKey(id))
-		b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: 1, Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
-			Loaner: l.host.Loaners, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}
+		b.add(id, &bk.MachineRecord{Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
+			Loaner: l.host.Loaners, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}, 0)
 		b.log(slog.LevelInfo, "unexpected machine adopted from the list", "machine", string(id))
 	}
 }
@@ -314,19 +316,18 @@
 				continue
 			}
 			missing++
-			if b.machines[id] == nil && b.hasRoom(1) {
-				b.open(bk.MachineKey(id))
-				b.machines[id] = &bk.MachineRecord{Owner: c.run, Baton: 1, Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners,
-					Since: c.now.Wall - protocol.Millis(c.since(h.at).Milliseconds())}
+			if b.machines[id] == nil && b.canAdd() {
+				b.add(id, &bk.MachineRecord{Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners,
+					Since: c.now.Wall - protocol.Millis(c.since(h.at).Milliseconds())}, 0)
 			}
 		}
 		if missing == 0 {
 			delete(c.hires, name)
 		}
 	}
-	for _, id := range b.ids() {
+	for _, id := range pick(c.machines, func(m *mstate) bool { return m.leave != "" }) {
 		e := c.mir.Machines[id]
-		if m := c.machines[id]; m != nil && m.leave != "" && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) {
+		if m := c.machines[id]; e != nil && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) && !b.gone(id) {
 			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
 				continue
 			}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -55,6 +55,11 @@
 	minRevAt  protocol.Instant
 	flushAt   protocol.Instant
 	busyCount int
+	rate      float64 // writes a second that this node allows itself
+	txCap     int     // changes that a transaction may have now
+	gangNeeds int     // changes that a gang needs which found no room in the last one
+	pageSeq   int
+	turn      int // of own pages, the one to go on with
 
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
@@ -63,6 +68,10 @@
 	waiters  []*waiter
 	revOut   bool // a revision is being read
 	machines map[protocol.MachineID]*mstate
+	holding  map[protocol.MachineID]bool // whose reports wait for their answers
+	adopting map[protocol.MachineID]bool // those of them that wait for an owner
+	stirred  bool                        // something has changed that they may wait for
+	doing    int                         // direct commands under way
 
 	// Jobs, as far as this process remembers more than the records.
 	jobs map[protocol.JobID]*jstate
@@ -86,7 +95,7 @@
 	demand     []want
 
 	peers      map[protocol.Member]peer
-	strayed    map[protocol.MachineID]protocol.Instant // reported here though another run owns them
+	strayed    map[protocol.MachineID]stray // reported here though another run owns them
 	hintAt     protocol.Instant
 	deadAt     map[bk.Run]protocol.Instant // since when a run is known to be dead
 	planned    plan
@@ -95,6 +104,13 @@
 	tickAt     protocol.Instant
 }
 
+// stray is a report that came to a node that does not own its machine.
+type stray struct {
+	at    protocol.Instant
+	shift protocol.Shift
+	tally protocol.Tally
+}
+
 type peer struct {
 	hint Hint
 	at   protocol.Instant
@@ -116,13 +132,30 @@
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
-		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]protocol.Instant{}, deadAt: map[bk.Run]protocol.Instant{},
+		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
+		holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
-	burst := max(int(cfg.WriteRPS*cfg.WriteShare), 2*cfg.TxnOps, 4)
-	c.tokens = rate.NewLimiter(rate.Limit(cfg.WriteRPS*cfg.WriteShare), burst)
+	c.mir.Changed = c.onChanged
+	c.rate, c.txCap = cfg.WriteRPS*cfg.WriteShare, cfg.TxnOps
+	c.tokens = rate.NewLimiter(rate.Limit(c.rate), max(int(cfg.WriteRPS*cfg.WriteShare), cfg.TxnOps+c.kept(), 4))
 	return c
 }
 
+// kept is the part of the write tokens that is left for what users ask for.
+func (c *Core) kept() int { return max(c.cfg.TxnOps/8, 1) }
+
+// adapt sets how much this node writes: all share one budget, and what one may
+// take of it shows in refusals only.
+func (c *Core) adapt(refused bool) {
+	full := c.cfg.WriteRPS * c.cfg.WriteShare
+	if refused {
+		c.rate = max(c.rate*0.8, c.cfg.WriteRPS/float64(c.cfg.Peers+1)*0.7)
+	} else {
+		c.rate = min(c.rate+full/100, full)
+	}
+	c.tokens.SetLimitAt(c.steady(), rate.Limit(c.rate))
+}
+
 // sorted lists a map's keys in order: what a step does depends on its inputs
 // only, never on the order in which a map happens to be walked.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
@@ -189,10 +222,12 @@
 	case ListResult:
 		c.onList(v)
 	case DoResult:
+		c.stirred = true
 		c.onDo(v)
 	case HintInput:
 		c.onHint(v.Hint)
 	case Tick:
+		c.stirred = true
 		c.tick()
 	default:
 		panic(fmt.Sprintf("coordination: unknown input %T", in))
@@ -223,9 +258,12 @@
 // this node is broken, and waiting would only let its lease run out.
 func (c *Core) onHint(h Hint) {
 	c.peers[h.Member] = peer{h, c.now.Steady}
-	for _, id := range h.Seen[:min(len(h.Seen), 200)] {
-		if e := c.mir.Machines[id]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
-			m := c.own(e, id)
+	for _, s := range h.Seen[:min(len(h.Seen), 200)] {
+		if e := c.mir.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
+			m := c.own(e, s.Machine)
+			if s.Shift < m.beatShift || s.Shift == m.beatShift && s.Tally <= m.beatTally {
+				continue // a late copy of a report that has been here
+			}
 			m.handTo, m.handAt = h.Run, c.now.Steady
 		}
 	}
@@ -270,12 +308,18 @@
 	if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
 		return true
 	}
+	heard := c.cfg.Peers == 0
 	for _, p := range c.peers {
-		if p.hint.StateOK && c.since(p.at) < 3*time.Second {
-			return false // it is this node alone that is cut off
+		if c.since(p.at) < 3*time.Second {
+			heard = true
+			if p.hint.StateOK {
+				return false // it is this node alone that is cut off
+			}
 		}
 	}
-	return true
+	// A node that hears neither the state service nor any other node must take
+	// it that it is the one that is cut off: users do better elsewhere.
+	return heard
 }
 
 func (c *Core) tick() {
@@ -298,7 +342,11 @@
 		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
 		if c.registered() {
 			h.Run = c.run
-			h.Seen = pick(c.strayed, func(at protocol.Instant) bool { return c.since(at) < 3*time.Second })
+			for _, id := range sorted(c.strayed) {
+				if s := c.strayed[id]; c.since(s.at) < 3*time.Second && len(h.Seen) < 200 {
+					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
+				}
+			}
 		}
 		clear(c.strayed)
 		c.emit(SendHint{h})
@@ -320,10 +368,21 @@
 		return
 	}
 	// Records deleted while this node did not follow must not stay: begin anew.
+	old := c.mir
 	c.mir = bk.NewMirror()
+	c.mir.Changed = c.onChanged
+	clear(c.assignedAt)
 	for _, i := range v.Items {
 		c.mirrorPut(i.Key, i.Data, i.Stamp)
 	}
+	for _, id := range old.IDs() {
+		if c.mir.Machines[id] == nil {
+			if m := c.machines[id]; m != nil {
+				c.dropHeld(m)
+				delete(c.machines, id)
+			}
+		}
+	}
 	c.mir.Rev = v.From
 	c.until = v.Until
 	c.mirrorAt = c.now.Steady
@@ -356,10 +415,12 @@
 	for _, n := range v.News.News {
 		if n.Put != "" {
 			c.mirrorPut(n.Put, n.Data, n.Stamp)
-		} else if c.mir.Delete(n.Delete, n.Stamp) {
-			c.onDeleted(n.Delete)
+		} else {
+			c.mir.Delete(n.Delete, n.Stamp)
 		}
 	}
+	c.onLost()
+	c.stirred = true
 	c.mir.Rev = max(c.mir.Rev, v.News.Rev)
 	c.mirrorAt = c.now.Steady
 	if !c.loaded && c.mir.Rev >= c.until {
@@ -411,13 +472,11 @@
 			c.deadAt[r] = c.now.Steady
 		}
 	}
-	for _, m := range c.mir.Machines {
-		note(m.Rec.Owner)
+	for _, p := range c.mir.Pages {
+		note(p.Owner)
 	}
-	for _, j := range c.mir.Jobs {
-		if !j.Rec.Stage.Final() {
-			note(j.Rec.Claim)
-		}
+	for _, j := range c.mir.Open {
+		note(j.Rec.Claim)
 	}
 	for r := range c.deadAt {
 		if !seen[r] {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -111,7 +111,14 @@
 	Run     bk.Run
 	// Machines of other owners whose workers report to the sender: their owners
 	// may be cut off from them.
-	Seen []protocol.MachineID
+	Seen []Seen
+}
+
+// Seen is a report of another owner's machine, with its place among all of them.
+type Seen struct {
+	Machine protocol.MachineID
+	Shift   protocol.Shift
+	Tally   protocol.Tally
 }
 
 // Effects of the core.
@@ -152,6 +159,11 @@
 		Addr    string
 		Orders  protocol.Orders
 	}
+	// SendShow asks a worker for its report; a DoResult answers.
+	SendShow struct {
+		Machine protocol.MachineID
+		Addr    string
+	}
 	// SendHint tells the other controllers.
 	SendHint struct{ Hint Hint }
 	// Log is a line for the operator.
@@ -182,6 +194,7 @@
 
 	Report, Lease, GangPeer, Cancel time.Duration
 	WriteRPS                        float64
+	Peers                           int // how many other controllers there are
 	TxnOps                          int
 	ValueBytes                      int
 	ListLag                         time.Duration
@@ -209,7 +222,8 @@
 	SpotMargin   time.Duration
 	SpotCheck    time.Duration
 	SpotCap      int
-	SpotLoss     float64 // reclaims an hour that a machine is reckoned with
+	AgeAfter     time.Duration // a job that has not begun by then goes before all others
+	SpotLoss     float64       // reclaims an hour that a machine is reckoned with
 	HireCap      int
 	NoCapacity   time.Duration // pause after the cloud had none
 	ListEvery    time.Duration
@@ -224,7 +238,7 @@
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 40, SpotLoss: 4, HireCap: 12, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, AgeAfter: 75 * time.Second, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
@@ -45,6 +46,7 @@
 	zones  map[protocol.Zone]int
 	placed int
 	done   int
+	aged   bool // has waited so long that it goes before all others
 }
 
 // want is demand that no machine, up or coming, can take.
@@ -59,8 +61,10 @@
 
 // plan is what the last pass of the planner found.
 type plan struct {
-	at   protocol.Instant
-	busy map[protocol.MachineID]bool // machines that the plan wants to keep
+	at       protocol.Instant
+	busy     map[protocol.MachineID]bool // machines that the plan wants to keep
+	free     []*room                     // machines that may still take something
+	reserved map[int]bool                // orders in which a job waits for machines to empty
 }
 
 func (c *Core) nextPlan() protocol.Instant { return c.planned.at.Add(c.cfg.FlushGap) }
@@ -110,15 +114,25 @@
 
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
-	var out []*room
-	for _, id := range b.ids() {
+	ids := c.mir.IDs()
+	out := make([]*room, 0, len(ids)+16)
+	alive := map[bk.Run]bool{c.run: true}
+	for _, e := range c.mir.Members {
+		alive[e.Rec.Run] = true
+	}
+	flavors := map[protocol.Sku]*protocol.Flavor{}
+	for i := range c.flavors {
+		flavors[c.flavors[i].Sku] = &c.flavors[i]
+	}
+	orders := map[*protocol.Job]int{}
+	for _, id := range ids {
 		rec := b.viewMachine(id)
-		fl := c.flavor(rec.Build)
-		if fl == nil || b.deletes[bk.MachineKey(id)] {
+		fl := flavors[rec.Build]
+		if fl == nil || b.gone(id) {
 			continue
 		}
 		r := &room{id: id, rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
-		r.closed = rec.Releasing || rec.Drain || !c.mir.Alive(rec.Owner) && rec.Owner != c.run
+		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner]
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
 			j := b.viewJob(a.Job)
@@ -126,9 +140,14 @@
 				r.closed = true // what it takes is not known
 				continue
 			}
+			order, ok := orders[j.Desc]
+			if !ok {
+				order = c.order(j.Desc)
+				orders[j.Desc] = order
+			}
 			n := a.Pieces.Len()
 			r.take(j.Desc, n)
-			r.used = append(r.used, held{a.Job, a.Try, n, j.Desc, c.order(j.Desc)})
+			r.used = append(r.used, held{a.Job, a.Try, n, j.Desc, order})
 		}
 		if rec.Loaner && !r.closed {
 			age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
@@ -158,7 +177,6 @@
 				rec: &bk.MachineRecord{Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners}})
 		}
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].id < out[k].id })
 	return out
 }
 
@@ -178,9 +196,9 @@
 		return false
 	}
 	cores, accels := 0.0, 0.0
-	for _, e := range c.mir.Jobs {
-		if d := e.Rec.Desc; d != nil && d.Desk == desk && !e.Rec.Stage.Final() {
-			left := float64(d.Pieces - e.Rec.Done.Len())
+	for id, e := range c.mir.Open {
+		if d := e.Rec.Desc; d.Desk == desk {
+			left := float64(d.Pieces - c.mir.Done(id).Len())
 			cores += left * d.Cores
 			accels += left * d.Accelerators
 		}
@@ -192,12 +210,12 @@
 func (c *Core) queue(b *batch, rooms []*room) []*queued {
 	byJob := map[protocol.JobID]*queued{}
 	var out []*queued
-	for id := range c.mir.Jobs {
+	for id := range c.mir.Open {
 		r := b.viewJob(id)
 		if r.Stage.Final() || r.Desc == nil {
 			continue
 		}
-		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: r.Done.Len()}
+		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: b.viewDone(id).Len()}
 		q.due = r.Sent + protocol.Millis(600_000)
 		if r.Desc.DueS != nil {
 			q.due = r.Sent + protocol.Millis(*r.Desc.DueS*1000)
@@ -214,9 +232,17 @@
 			}
 		}
 	}
+	for _, q := range out {
+		waited := time.Duration(c.now.Wall-q.rec.Sent) * time.Millisecond
+		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0 || waited > 3*c.cfg.AgeAfter
+	}
 	sort.Slice(out, func(i, k int) bool {
 		a, z := out[i], out[k]
 		switch {
+		case a.aged != z.aged:
+			return a.aged
+		case a.aged && a.rec.Sent != z.rec.Sent:
+			return a.rec.Sent < z.rec.Sent
 		case a.order != z.order:
 			return a.order < z.order
 		case a.late != z.late:
@@ -282,7 +308,8 @@
 	}
 	rooms := c.rooms(b)
 	c.logFleet(rooms)
-	c.noteAssigned(rooms)
+	c.planned.reserved = map[int]bool{}
+	c.planned.free = slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.closed })
 	for _, q := range c.queue(b, rooms) {
 		c.claim(b, q)
 		if q.rec.Desc.Gang() {
@@ -365,23 +392,37 @@
 }
 
 // score ranks machines for a task: small types first, so that the large ones
-// stay free for what fits nowhere else; then those that have the image.
-func (c *Core) score(r *room, j *protocol.Job) float64 {
+// stay free for what fits nowhere else; then, in seconds, what it takes until
+// the task runs: the image, and the wait for the machine's next report. Pages of
+// other owners come later, as writing them means to collide with their owners.
+func (c *Core) score(b *batch, q *queued, r *room) float64 {
+	j := q.rec.Desc
 	s := r.fl.Cores*10 + r.fl.Accelerators*1000
 	if r.coming {
-		s += 1e6
+		return s + 1e6
 	}
-	if !c.hasImage(r.id, j.Bundle) && r.fl.FetchGBPerS > 0 {
+	m := c.machines[r.id]
+	if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Bundle) {
 		s += min(j.PullGB/r.fl.FetchGBPerS, 60)
 	}
 	if r.rec.Loaner {
 		s -= 5
 	}
+	if r.rec.Owner != q.rec.Claim {
+		s += foreignPage
+	} else if m == nil || m.held == 0 {
+		s += c.cfg.Report.Seconds() / 2
+	}
+	if b.pages[r.rec.Page] == nil {
+		s += 1
+	}
 	return s
 }
 
-func (c *Core) hasImage(id protocol.MachineID, bundle string) bool {
-	m := c.machines[id]
+// foreignPage is how many seconds a page of one's own is better than another's.
+const foreignPage = 8
+
+func (m *mstate) hasImage(bundle string) bool {
 	if m == nil {
 		return false
 	}
@@ -411,17 +452,33 @@
 	}
 }
 
-func (c *Core) candidates(rooms []*room, j *protocol.Job) []*room {
-	var out []*room
-	scores := map[*room]float64{}
-	for _, r := range rooms {
-		if !r.closed && r.fits(j) > 0 && c.mayUse(j, r) {
-			out = append(out, r)
-			scores[r] = c.score(r, j)
+// candidates lists the machines that can take a task of the job, best first,
+// machines of one page together.
+func (c *Core) candidates(b *batch, q *queued) []*room {
+	type scored struct {
+		r *room
+		s float64
+	}
+	var out []scored
+	left := c.planned.free[:0]
+	for _, r := range c.planned.free {
+		if r.cores <= eps || r.mem <= eps {
+			continue // full by now, for all that come later
+		}
+		left = append(left, r)
+		if r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
+			out = append(out, scored{r, c.score(b, q, r)})
 		}
 	}
-	sort.SliceStable(out, func(i, k int) bool { return scores[out[i]] < scores[out[k]] })
-	return out
+	c.planned.free = left
+	slices.SortFunc(out, func(a, z scored) int {
+		return cmp.Or(cmp.Compare(a.s, z.s), cmp.Compare(a.r.rec.Page, z.r.rec.Page), cmp.Compare(a.r.id, z.r.id))
+	})
+	rooms := make([]*room, len(out))
+	for i := range out {
+		rooms[i] = out[i].r
+	}
+	return rooms
 }
 
 // put notes n planned tasks of the job on the machine.
@@ -434,21 +491,38 @@
 
 // openTasks lists up to max tasks that are neither done nor assigned, in order.
 func (c *Core) openTasks(b *batch, q *queued, max int) []int {
-	have := q.rec.Done
-	for id := range c.mir.Machines {
-		if b.deletes[bk.MachineKey(id)] {
-			continue
-		}
-		rec := b.viewMachine(id)
+	have := b.viewDone(q.id)
+	add := func(rec *bk.MachineRecord) {
 		for i := range rec.Assigned {
 			if a := &rec.Assigned[i]; a.Job == q.id {
 				have = have.Union(a.Pieces)
 			}
 		}
 	}
+	for id := range c.mir.On(q.id) {
+		if !b.gone(id) {
+			add(b.viewMachine(id))
+		}
+	}
+	for id := range b.machines {
+		if !c.mir.On(q.id)[id] {
+			add(b.machines[id])
+		}
+	}
 	return have.Gaps(q.rec.Desc.Pieces, max)
 }
 
+// spans tells how many tasks of a job may be under way so that what is done of
+// it can be written, in whatever order they end.
+func (c *Core) spans(pieces int) int {
+	span := 2*len(strconv.Itoa(pieces)) + 2 // "lo-hi,"
+	room := c.cfg.ValueBytes - 1500
+	if pieces/3*span <= room {
+		return pieces
+	}
+	return room / span
+}
+
 func (c *Core) placeArray(b *batch, q *queued, rooms []*room) {
 	d := q.rec.Desc
 	left := d.Pieces - q.done - q.placed
@@ -457,8 +531,7 @@
 	}
 	// The written form of what is done must stay within a value: gaps in it
 	// are bounded by the tasks under way.
-	spans := (c.cfg.ValueBytes - 1500) / 14
-	limit := min(left, c.teamRoom(rooms, d), max(spans-q.placed, 0))
+	limit := min(left, c.teamRoom(rooms, d), max(c.spans(d.Pieces)-q.placed, 0))
 	ours := c.ours(b, q)
 	j := c.jstate(q.id)
 	if ours && c.now.Steady < j.notBefore {
@@ -469,7 +542,7 @@
 		open = c.openTasks(b, q, limit)
 		limit = min(limit, len(open))
 	}
-	for _, r := range c.candidates(rooms, d) {
+	for _, r := range c.candidates(b, q) {
 		if limit <= 0 {
 			break
 		}
@@ -479,11 +552,8 @@
 		}
 		if ours && !r.coming && c.writable(b, r, d) {
 			n = min(n, 200)
-			rec := b.machine(r.id)
 			try := j.next
-			for _, p := range open[:n] {
-				rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
-			}
+			b.assign(r.id, q.id, open[:n], try)
 			open = open[n:]
 			c.placed(b, q, r, n, try)
 		} else if ours {
@@ -494,6 +564,10 @@
 		left -= n
 		limit -= n
 	}
+	if q.aged && q.placed == 0 && limit > 0 {
+		// Its tasks fit into no gap that others leave: some machines are emptied.
+		c.reserve(b, q, rooms, []protocol.Zone{""}, min(limit, 4))
+	}
 	if q.rec.Claim == c.run {
 		if n := min(left, limit); n > 0 {
 			c.demand = append(c.demand, want{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
@@ -522,7 +596,7 @@
 			return false
 		}
 	}
-	return b.hasRoom(n) && len(r.rec.Assigned) < 200
+	return b.hasRoom(n) && b.roomy(r.rec)
 }
 
 // placed notes a written placement: it rests on the job's stamp, and on the
@@ -531,7 +605,7 @@
 	d := q.rec.Desc
 	b.on(bk.JobKey(q.id))
 	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
-		b.open(bk.TeamKey(d.Desk))
+		b.open(bk.TeamKey(d.Desk), 100)
 		b.teams[d.Desk] = true
 	}
 	j := c.jstate(q.id)
@@ -542,7 +616,6 @@
 		if j.given += n; j.given >= 4*d.Pieces {
 			j.notBefore = c.now.Steady.Add(min(time.Duration(j.given/d.Pieces-3)*5*time.Second, 30*time.Second))
 		}
-		c.noteImage(r.id, r.fl, d)
 	})
 	b.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
 }
@@ -571,7 +644,7 @@
 	}
 	var best []share
 	for _, z := range zones {
-		s := c.gangShares(q, rooms, z, left, nil)
+		s := c.gangShares(b, q, rooms, z, left, nil)
 		if s != nil && (best == nil || shareCost(s) < shareCost(best)) {
 			best = s
 		}
@@ -581,18 +654,24 @@
 		return
 	}
 	ours := c.ours(b, q) && c.now.Steady >= c.jstate(q.id).notBefore
-	need := 0
+	var ids []protocol.MachineID
 	for _, s := range best {
 		if s.r.coming {
 			ours = false
+			break
 		}
-		need += b.needs(s.r.id)
+		ids = append(ids, s.r.id)
+		ours = ours && b.roomy(s.r.rec)
 	}
 	// A gang too large for one transaction is written in several; nobody
 	// starts a task of it before the last one.
-	whole := need <= c.cfg.TxnOps/2
-	if ours && whole && !b.hasRoom(need+1) {
-		ours = false
+	if ours {
+		if fits, alone := b.fits(ids); alone > 0 && !fits {
+			ours = false
+			if c.gangNeeds == 0 {
+				c.gangNeeds = alone + c.kept()
+			}
+		}
 	}
 	if !ours {
 		for _, s := range best {
@@ -606,10 +685,7 @@
 	b.marks = append(b.marks, func() { c.jstate(q.id).building = try })
 	for _, s := range best {
 		if c.writable(b, s.r, d) {
-			rec := b.machine(s.r.id)
-			for _, p := range open[:s.n] {
-				rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
-			}
+			b.assign(s.r.id, q.id, open[:s.n], try)
 			c.placed(b, q, s.r, s.n, try)
 		}
 		open = open[s.n:]
@@ -628,29 +704,18 @@
 	if left <= 0 || !c.ours(b, q) {
 		return
 	}
-	var try protocol.Attempt
-	for id := range c.mir.Machines {
-		rec := b.viewMachine(id)
-		for i := range rec.Assigned {
-			if rec.Assigned[i].Job == q.id {
-				try = max(try, rec.Assigned[i].Try)
-			}
-		}
-	}
+	try := c.lastTry(q.id, b)
 	// Only an attempt that is still being written. One that has lost a task is
 	// not mended: its other tasks end, and the gang starts anew as a whole.
 	if try == 0 || try != j.building || q.rec.Halt >= try || j.brokenAt != 0 && c.since(j.brokenAt) > 2*time.Second {
 		return
 	}
-	for _, s := range c.gangShares(q, rooms, q.onlyZone(), left, nil) {
+	for _, s := range c.gangShares(b, q, rooms, q.onlyZone(), left, nil) {
 		if s.r.coming || !c.writable(b, s.r, q.rec.Desc) {
 			return
 		}
 		open := c.openTasks(b, q, s.n)
-		rec := b.machine(s.r.id)
-		for _, p := range open {
-			rec.Assign(protocol.Task{Job: q.id, Piece: p}, try)
-		}
+		b.assign(s.r.id, q.id, open, try)
 		c.placed(b, q, s.r, len(open), try)
 		q.put(s.r, len(open), try)
 	}
@@ -689,13 +754,13 @@
 
 // gangShares spreads n tasks over the machines of a zone (any, if empty).
 // freed adds what could be made free on a machine.
-func (c *Core) gangShares(q *queued, rooms []*room, z protocol.Zone, n int, freed func(*room) int) []share {
+func (c *Core) gangShares(b *batch, q *queued, rooms []*room, z protocol.Zone, n int, freed func(*room) int) []share {
 	var out []share
 	zones := map[protocol.Zone]int{}
 	d := q.rec.Desc
 	list := rooms
 	if freed == nil {
-		list = c.candidates(rooms, d)
+		list = c.candidates(b, q)
 	}
 	for _, r := range list {
 		if n == 0 {
@@ -729,6 +794,14 @@
 	d := q.rec.Desc
 	ours := c.ours(b, q)
 	got := c.roomKept(q, rooms, n)
+	if got == nil && q.aged {
+		if c.reserve(b, q, rooms, zones, n) && ours {
+			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+		}
+		if c.planned.reserved[q.order] {
+			return
+		}
+	}
 	if got == nil && ours {
 		got = c.cheapestRoom(q, rooms, zones, n)
 		if got == nil {
@@ -759,6 +832,84 @@
 	}
 }
 
+// reserve keeps machines for a job that has waited too long and fits nowhere,
+// until what runs there has ended: nothing more is placed on them. Without it a
+// stream of smaller jobs of its own rank would take each gap as it opens. One job
+// of a rank at a time, so that few machines run empty. It tells whether the job
+// is the one. The choice is on record, so that all controllers keep to it.
+func (c *Core) reserve(b *batch, q *queued, rooms []*room, zones []protocol.Zone, n int) bool {
+	if c.planned.reserved[q.order] {
+		return false
+	}
+	d := q.rec.Desc
+	// What an emptied machine takes, less what goes before this job.
+	emptied := func(r *room) int {
+		if r.coming {
+			return 0
+		}
+		f := *r
+		for _, h := range r.used {
+			if h.order >= q.order {
+				f.take(h.desc, -h.n)
+			}
+		}
+		return f.fits(d)
+	}
+	pick := func(list []*room) []share {
+		for _, z := range zones {
+			if got := c.gangShares(nil, q, list, z, n, emptied); got != nil {
+				return got
+			}
+		}
+		return nil
+	}
+	var kept []*room
+	for _, r := range rooms {
+		if slices.Contains(q.rec.Room, r.id) {
+			kept = append(kept, r)
+		}
+	}
+	got := pick(kept)
+	if got == nil {
+		if !c.ours(b, q) || !b.hasRoom(b.needs("", q.id)) {
+			return false
+		}
+		// Those that are emptiest, and where what runs has run longest.
+		list := slices.Clone(rooms)
+		cost := map[*room]float64{}
+		for _, r := range list {
+			for _, h := range r.used {
+				cost[r] += float64(h.n) * h.desc.Cores / r.fl.Cores * max(h.desc.ReckonS-c.running(r, h), 5)
+			}
+		}
+		slices.SortStableFunc(list, func(a, z *room) int { return cmp.Compare(cost[a], cost[z]) })
+		if got = pick(list); got == nil {
+			return false
+		}
+		r := b.job(q.id)
+		r.Room = nil
+		for _, s := range got {
+			r.Room = append(r.Room, s.r.id)
+		}
+		b.log(slog.LevelInfo, "machines are kept for a job that has waited long", "job", string(q.id), "machines", r.Room)
+	}
+	c.planned.reserved[q.order] = true
+	for _, s := range got {
+		s.r.closed = true
+		s.r.cores = 0
+		c.planned.busy[s.r.id] = true
+	}
+	return true
+}
+
+// running is for how many seconds tasks have been assigned, as far as it is known.
+func (c *Core) running(r *room, h held) float64 {
+	if at, ok := c.assignedAt[assignment{r.id, h.job, h.try}]; ok {
+		return c.since(at).Seconds()
+	}
+	return 0
+}
+
 // freeable tells how many tasks of the gang fit once what ranks lower is gone.
 func (c *Core) freeable(r *room, q *queued) int {
 	if r.coming {
@@ -782,19 +933,24 @@
 			list = append(list, r)
 		}
 	}
-	return c.gangShares(q, list, "", n, func(r *room) int { return c.freeable(r, q) })
+	return c.gangShares(nil, q, list, "", n, func(r *room) int { return c.freeable(r, q) })
 }
 
 // cheapestRoom chooses the machines on which the least work is lost.
 func (c *Core) cheapestRoom(q *queued, rooms []*room, zones []protocol.Zone, n int) []share {
 	cost := map[*room]float64{}
-	list := append([]*room(nil), rooms...)
+	var list []*room
+	for _, r := range rooms {
+		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) {
+			list = append(list, r)
+		}
+	}
 	for _, r := range list {
 		cost[r] = c.roomCost(r, q)
 	}
 	sort.SliceStable(list, func(i, k int) bool { return cost[list[i]] < cost[list[k]] })
 	for _, z := range zones {
-		if got := c.gangShares(q, list, z, n, func(r *room) int { return c.freeable(r, q) }); got != nil {
+		if got := c.gangShares(nil, q, list, z, n, func(r *room) int { return c.freeable(r, q) }); got != nil {
 			return got
 		}
 	}
@@ -816,7 +972,7 @@
 			wait = max(wait, h.desc.StowS)
 		}
 	}
-	if !c.hasImage(r.id, d.Bundle) && r.fl.FetchGBPerS > 0 {
+	if !c.machines[r.id].hasImage(d.Bundle) && r.fl.FetchGBPerS > 0 {
 		wait += d.PullGB / r.fl.FetchGBPerS
 	}
 	return cost + wait*d.Cores
@@ -827,11 +983,7 @@
 	if h.desc.Saves() {
 		return float64(h.n) * h.desc.Cores * h.desc.StowS
 	}
-	age := 0.0
-	if at, ok := c.assignedAt[assignment{r.id, h.job, h.try}]; ok {
-		age = c.since(at).Seconds()
-	}
-	return float64(h.n) * h.desc.Cores * age
+	return float64(h.n) * h.desc.Cores * c.running(r, h)
 }
 
 // assignment is the tasks of a job that one attempt has on a machine.
@@ -841,22 +993,6 @@
 	try     protocol.Attempt
 }
 
-// noteAssigned remembers since when tasks have been on their machines.
-func (c *Core) noteAssigned(rooms []*room) {
-	next := make(map[assignment]protocol.Instant, len(c.assignedAt))
-	for _, r := range rooms {
-		for _, h := range r.used {
-			k := assignment{r.id, h.job, h.try}
-			at, ok := c.assignedAt[k]
-			if !ok {
-				at = c.now.Steady
-			}
-			next[k] = at
-		}
-	}
-	c.assignedAt = next
-}
-
 // victims lists what ranks lower on a machine, least loss per core first.
 func (c *Core) victims(r *room, q *queued) []held {
 	var out []held
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -55,7 +55,8 @@
 	a := protocol.JobAnswer{UID: id, Stage: r.Stage}
 	running := 0
 	if !r.Stage.Final() {
-		for _, m := range c.mir.Machines {
+		for mid := range c.mir.On(id) {
+			m := c.mir.Machines[mid]
 			for i := range m.Rec.Assigned {
 				if as := &m.Rec.Assigned[i]; as.Job == id {
 					running += as.Pieces.Len()
@@ -68,7 +69,7 @@
 		}
 	}
 	if counts {
-		done := r.Done.Len()
+		done := c.mir.Done(id).Len()
 		if r.Stage == protocol.Done {
 			done = r.Count
 		}
@@ -227,8 +228,7 @@
 		if c.mir.Jobs[id] != nil || !b.hasRoom(1) {
 			continue
 		}
-		key := bk.JobKey(id)
-		b.open(key)
+		b.open(bk.JobKey(id), 700)
 		b.jobs[id] = &bk.JobRecord{Desc: s.job, Claim: c.run, Next: attemptBlock, Sent: s.wall}
 	}
 }
--- /dev/null
+++ b/internal/coordination/watch.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// tickMachines looks after owned machines: stops that are due, silence, release.
+func (c *Core) tickMachines() {
+	if !c.loaded {
+		return
+	}
+	c.watchGangs()
+	var owned []protocol.MachineID
+	for _, p := range c.ownPages() {
+		owned = append(owned, c.mir.Pages[p].Machines...)
+	}
+	owned = slices.DeleteFunc(owned, func(id protocol.MachineID) bool {
+		e := c.mir.Machines[id]
+		return e == nil || !c.mine(&e.Rec)
+	})
+	slices.Sort(owned)
+	total, quiet := 0, 0
+	for _, id := range owned {
+		if e := c.mir.Machines[id]; e.Rec.Shift > 0 && !e.Rec.Releasing {
+			total++
+			if c.silent(c.own(e, id)) {
+				quiet++
+			}
+		}
+	}
+	// If nearly all fall silent, it is this node that is cut off.
+	cutOff := quiet > 3 && quiet*3 > total*2
+	c.silentOwn = quiet
+	for _, id := range owned {
+		e := c.mir.Machines[id]
+		m := c.own(e, id)
+		c.tickStops(e, m)
+		c.tickRelease(e, m, cutOff)
+		if e.Rec.Shift > 0 && (m.confirmed < e.Rec.Baton && c.since(m.heardAt) > 500*time.Millisecond || m.deaf()) {
+			// The worker may still report to an owner that was cut off: the
+			// higher baton makes that one's answers worthless. A deaf worker
+			// is asked whether it hears again.
+			c.do(e, m, nil, 2*time.Second)
+		}
+	}
+	for id, m := range c.machines {
+		if e := c.mir.Machines[id]; e == nil && m.held == 0 {
+			delete(c.machines, id)
+		} else if e != nil && !c.mine(&e.Rec) && m.held == 0 {
+			m.ownedRun = ""
+		}
+	}
+	for id := range c.jobs {
+		if e := c.mir.Jobs[id]; e == nil || e.Rec.Stage == protocol.Done || e.Rec.Stage.Final() && len(c.mir.On(id)) == 0 {
+			delete(c.jobs, id)
+		}
+	}
+}
+
+// lastTry is the highest attempt with which tasks of the job are assigned.
+func (c *Core) lastTry(id protocol.JobID, b *batch) (try protocol.Attempt) {
+	for mid := range c.mir.On(id) {
+		r := &c.mir.Machines[mid].Rec
+		if b != nil {
+			r = b.viewMachine(mid)
+		}
+		for i := range r.Assigned {
+			if a := &r.Assigned[i]; a.Job == id {
+				try = max(try, a.Try)
+			}
+		}
+	}
+	return try
+}
+
+func (c *Core) watchGangs() {
+	for id, e := range c.mir.Open {
+		if !e.Rec.Desc.Gang() || e.Rec.Desc.Pieces < 2 {
+			continue
+		}
+		try := c.lastTry(id, nil)
+		j := c.jstate(id)
+		if try == 0 || c.gangWhole(id, &e.Rec, try) {
+			j.brokenAt = 0
+		} else if j.brokenAt == 0 || j.seenTry != try {
+			j.brokenAt = c.now.Steady
+		}
+		j.seenTry = try
+	}
+}
+
+// tickStops decides which tasks of an owned machine must stop, and sends the
+// stops directly: the next report may be seconds away.
+func (c *Core) tickStops(e *bk.Machine, m *mstate) {
+	if m.rep == nil {
+		return
+	}
+	urgent := false
+	var left time.Duration
+	if m.recallAt != 0 {
+		left = m.recallAt.Sub(c.now.Steady)
+	}
+	for i := range m.rep.Pieces {
+		p := &m.rep.Pieces[i]
+		if p.Stage == protocol.Ended {
+			continue
+		}
+		je := c.mir.Jobs[p.Task.Job]
+		if je == nil || je.Rec.Desc == nil {
+			continue
+		}
+		d := je.Rec.Desc
+		if je.Rec.Stage == protocol.Withdrawn {
+			c.stop(m, p.Task, p.Try, 0, "withdrawn")
+			urgent = true
+			continue
+		}
+		if d.Gang() && c.gangBroken(p.Task.Job, p.Try) {
+			c.stop(m, p.Task, p.Try, 0, "gang lost a task")
+			urgent = true
+		}
+		if h := je.Rec.Halt; h > 0 && h >= p.Try {
+			c.stop(m, p.Task, p.Try, d.StowS+1, "gang stops in order")
+			urgent = true
+		}
+		if m.recallAt != 0 && d.Saves() && (!d.Gang() || d.Pieces == 1) && p.Stage == protocol.TaskRunning &&
+			left < protocol.Seconds(d.StowS)+2*c.cfg.Report+time.Second && left > protocol.Seconds(d.StowS) {
+			c.stop(m, p.Task, p.Try, d.StowS, "recall")
+			urgent = true
+		}
+		if m.recallAt != 0 && d.Saves() && d.Gang() && d.Pieces > 1 && p.Stage == protocol.TaskRunning && je.Rec.Halt < p.Try &&
+			left < protocol.Seconds(d.StowS)+2*c.cfg.Report+c.cfg.GangPeer+time.Second && left > protocol.Seconds(d.StowS) {
+			c.halts[p.Task.Job] = p.Try
+		}
+		if s, ok := m.stops[p.Task]; ok && s.try == p.Try && p.Stage != protocol.Flushing {
+			urgent = true
+		}
+	}
+	if !urgent {
+		return
+	}
+	if orders := c.orders(e, m, false); len(orders) > 0 {
+		c.do(e, m, orders, time.Second)
+	}
+}
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -6,7 +6,10 @@
 )
 
 // Paths of a worker's own address.
-const PathDo = "/do"
+const (
+	PathDo   = "/do"
+	PathShow = "/show"
+)
 
 // TaskStage is the state of a task on its machine.
 type TaskStage string
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -26,6 +26,7 @@
 	Gone    bool
 	Faulty  bool // every task fails here
 	Cut     bool // reaches no controller
+	Deaf    bool // its reports arrive, answers and commands do not reach it
 	shift   protocol.Shift
 	tally   protocol.Tally
 	baton   protocol.Baton
