Standing still is no silence and no freshness; pages go over whole; hung machines, cut zones in tests

And by reading: a controller that stood still took answers that had lain in its sockets as fresh, and its workers as silent. Ruled out: the size of pages that are split or filled by adoption (bounded). Now a page most of whose machines report elsewhere is given in one change, others go to pages of bounded size; freshness counts from when a request was sent; silence from when the process went on. The guards were taken out one by one and the tests seen to fail.

--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -18,6 +19,7 @@
 
 // Machine is a machine's record as the mirror has it.
 type Machine struct {
+	ID   protocol.MachineID
 	Rec  MachineRecord
 	line string // its written form: a machine whose line stays is not read again
 }
@@ -53,7 +55,7 @@
 	done   map[protocol.JobID]Ranges          // what Done has found, until it changes
 
 	on   map[protocol.JobID]map[protocol.MachineID]bool // where a job has assignments
-	ids  []protocol.MachineID                           // all machines in order; nil: to be made anew
+	list []*Machine                                     // all machines in order; nil: to be made anew
 	lost []protocol.MachineID
 	gone map[string]protocol.Stamp // deleted keys, for changes that come late
 }
@@ -261,10 +263,10 @@
 	switch {
 	case r == nil:
 		delete(m.Machines, id)
-		m.ids = nil
+		m.list = nil
 	case e == nil:
-		m.Machines[id] = &Machine{*r, line}
-		m.ids = nil
+		m.Machines[id] = &Machine{id, *r, line}
+		m.list = nil
 	default:
 		e.Rec, e.line = *r, line
 	}
@@ -302,16 +304,12 @@
 	return out
 }
 
-// IDs lists all machines in order. The list is not to be changed.
-func (m *Mirror) IDs() []protocol.MachineID {
-	if m.ids == nil {
-		m.ids = make([]protocol.MachineID, 0, len(m.Machines))
-		for id := range m.Machines {
-			m.ids = append(m.ids, id)
-		}
-		slices.Sort(m.ids)
+// List gives all machines in the order of their names. It is not to be changed.
+func (m *Mirror) List() []*Machine {
+	if m.list == nil {
+		m.list = slices.SortedFunc(maps.Values(m.Machines), func(a, z *Machine) int { return strings.Compare(string(a.ID), string(z.ID)) })
 	}
-	return m.ids
+	return m.list
 }
 
 // Line is a machine's written form as it is on record.
--- a/internal/bookkeeping/mirror_test.go
+++ b/internal/bookkeeping/mirror_test.go
@@ -63,8 +63,8 @@
 	put(JobKey("j-1"), []byte(`{"d":{"uid":"j-1","pieces":9},"v":"0"}`), 1)
 	put(a, page("x#1", 1, map[protocol.JobID]Ranges{"j-1": Range(2, 3)}, "m-1/j-1", "m-2"), 2)
 	put(b, page("y#1", 4, map[protocol.JobID]Ranges{"j-1": Range(5, 5)}, "m-3/j-1"), 3)
-	if len(m.On("j-1")) != 2 || m.Done("j-1").String() != "0,2-3,5" || len(m.IDs()) != 3 || changes != 3 {
-		t.Fatalf("on %v, done %s, %v, %d changes", m.On("j-1"), m.Done("j-1"), m.IDs(), changes)
+	if len(m.On("j-1")) != 2 || m.Done("j-1").String() != "0,2-3,5" || len(m.List()) != 3 || changes != 3 {
+		t.Fatalf("on %v, done %s, %v, %d changes", m.On("j-1"), m.Done("j-1"), len(m.List()), changes)
 	}
 	// A takeover changes owner and baton of all, and reads no machine again.
 	put(a, page("y#1", 2, map[protocol.JobID]Ranges{"j-1": Range(2, 3)}, "m-1/j-1", "m-2"), 4)
@@ -84,10 +84,10 @@
 	m.Delete(b, 7)
 	put(b, page("z#1", 9, nil, "m-9"), 6)
 	if len(m.Machines) != 0 || len(m.On("j-1")) != 0 || m.Stamp(b) != 0 || len(m.Lost()) != 2 {
-		t.Errorf("%v machines, on %v, stamp %d", m.IDs(), m.On("j-1"), m.Stamp(b))
+		t.Errorf("%v machines, on %v, stamp %d", len(m.List()), m.On("j-1"), m.Stamp(b))
 	}
 	// A page that cannot be read is not taken in part.
 	if _, err := m.Put(PageKey("c"), []byte(`{"o":"x#1","b":1,"m":["m-5 a b c 1 1 -","nonsense"]}`), 9); err == nil || len(m.Machines) != 0 {
-		t.Errorf("err %v, machines %v", err, m.IDs())
+		t.Errorf("err %v, machines %v", err, len(m.List()))
 	}
 }
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -143,7 +143,9 @@
 		}
 		return
 	}
-	m.leave = c.reasonToLeave(e, m, cutOff)
+	if m.leave = c.reasonToLeave(e, m, cutOff); m.leave != "" {
+		c.leaving = append(c.leaving, m.id)
+	}
 }
 
 func (c *Core) reasonToLeave(e *bk.Machine, m *mstate, cutOff bool) string {
@@ -165,7 +167,7 @@
 		}
 		return ""
 	}
-	quiet := c.since(m.heardAt)
+	quiet := c.unheard(m)
 	if l := c.listed[m.id]; l != nil && c.silent(m) && !cutOff {
 		if l.host.Stage == protocol.HostFailed {
 			return "failed"
@@ -325,9 +327,9 @@
 			delete(c.hires, name)
 		}
 	}
-	for _, id := range pick(c.machines, func(m *mstate) bool { return m.leave != "" }) {
+	for _, id := range c.leaving {
 		e := c.mir.Machines[id]
-		if m := c.machines[id]; e != nil && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) && !b.gone(id) {
+		if m := c.machines[id]; m != nil && m.leave != "" && e != nil && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) && !b.gone(id) {
 			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
 				continue
 			}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -111,7 +111,7 @@
 
 func (c *Core) send(t *txn) {
 	c.txID++
-	t.id = c.txID
+	t.id, t.sent = c.txID, c.now.Steady
 	if t.user {
 		c.userTx = t
 	} else {
@@ -150,13 +150,13 @@
 	*next = now
 	switch v.Outcome {
 	case bk.Applied, bk.Conflict, bk.Busy, bk.NoLease, bk.Invalid:
-		c.heard(nil)
+		c.heard(t.sent, nil)
 	default:
 		err := v.Err
 		if err == nil {
 			err = errOutcome
 		}
-		c.heard(err)
+		c.heard(t.sent, err)
 	}
 	if v.Outcome != bk.Busy {
 		c.busyCount = 0
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -35,6 +35,11 @@
 	mirrorAt  protocol.Instant // when the mirror was last known to be up to date
 	retryAt   protocol.Instant // next try of load or follow
 	stateOK   protocol.Instant // last answer of the state service
+	stateAsk  protocol.Instant // when the newest request was sent that it has answered
+	followAsk protocol.Instant // when the watch that is open was asked for
+	loadAsk   protocol.Instant // when the records that are being read were
+	wokeAt    protocol.Instant // when this process last went on after it had stood still
+	stepAt    protocol.Instant // last step
 	failures  int
 
 	// This process run.
@@ -44,6 +49,8 @@
 	granting  bool
 	extending bool
 	extendAt  protocol.Instant
+	extendAsk protocol.Instant
+	grantAsk  protocol.Instant
 	grantAt   protocol.Instant
 
 	// Transactions: one at a time, and one beside it for what users ask for, which
@@ -72,7 +79,10 @@
 	halts    map[protocol.JobID]protocol.Attempt // attempts of gangs that are to stop in order
 	waiters  []*waiter
 	revOut   bool // a revision is being read
+	revAsk   protocol.Instant
 	machines map[protocol.MachineID]*mstate
+	leaving  []protocol.MachineID        // owned ones that are to go back
+	handing  map[protocol.MachineID]bool // owned ones whose workers report to another controller
 	holding  map[protocol.MachineID]bool // whose reports wait for their answers
 	adopting map[protocol.MachineID]bool // those of them that wait for an owner
 	stirred  bool                        // something has changed that they may wait for
@@ -107,6 +117,7 @@
 	assignedAt map[assignment]protocol.Instant
 	fleetAt    protocol.Instant
 	tickAt     protocol.Instant
+	forgetAt   protocol.Instant // when what is remembered of machines and jobs that are gone is dropped next
 }
 
 // stray is a report that came to a node that does not own its machine.
@@ -117,6 +128,10 @@
 	shown bool // its worker has answered here since
 }
 
+// stoodStill is a pause between steps that is this process's own doing: its timer
+// alone brings one every 50 ms.
+const stoodStill = 2 * time.Second
+
 type peer struct {
 	hint Hint
 	at   protocol.Instant
@@ -124,6 +139,7 @@
 
 type txn struct {
 	id    uint64
+	sent  protocol.Instant
 	multi protocol.Multi
 	fence bool
 	reg   bool // registers this run
@@ -140,7 +156,7 @@
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
-		holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
+		handing: map[protocol.MachineID]bool{}, holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
 	c.mir.Changed = c.onChanged
 	c.rate, c.txCap = cfg.WriteRPS*cfg.WriteShare, cfg.TxnOps
@@ -195,7 +211,12 @@
 
 // Step takes one input and gives the effects it has.
 func (c *Core) Step(now Now, in Input) []Effect {
-	c.now = now
+	if c.stepAt != 0 && now.Steady.Sub(c.stepAt) > stoodStill {
+		// What has come in meanwhile lies in queues, in no order that tells who was
+		// silent: silence counts from now on.
+		c.wokeAt = now.Steady
+	}
+	c.now, c.stepAt = now, now.Steady
 	c.out = nil
 	switch v := in.(type) {
 	case UserInput:
@@ -212,7 +233,7 @@
 		c.onRev(v)
 	case GrantResult:
 		c.granting = false
-		if c.heard(v.Err) {
+		if c.heard(c.grantAsk, v.Err) {
 			c.hold = v.Hold
 			c.grantAt = c.now.Steady
 		} else {
@@ -255,7 +276,7 @@
 	if now < c.followAt && c.mir.Rev >= c.minRev && len(c.waiters) == 0 {
 		return
 	}
-	c.following = true
+	c.following, c.followAsk = true, now
 	c.followAt = now.Add(c.cfg.FollowGap)
 	c.emit(Follow{c.mir.Rev})
 }
@@ -272,17 +293,18 @@
 				continue // a late copy of a report that has been here
 			}
 			m.handTo, m.handAt = h.Run, c.now.Steady
+			c.handing[s.Machine] = true
 		}
 	}
 }
 
-// heard notes whether the state service answered.
-func (c *Core) heard(err error) bool {
+// heard notes whether the state service answered what was asked at a time.
+func (c *Core) heard(asked protocol.Instant, err error) bool {
 	if err == nil || errors.Is(err, bk.ErrGone) || errors.Is(err, bk.ErrTooOld) {
 		if c.failures > 0 {
 			c.log(slog.LevelInfo, "state service answers again", "failures", c.failures)
 		}
-		c.stateOK, c.failures = c.now.Steady, 0
+		c.stateOK, c.stateAsk, c.failures = c.now.Steady, max(c.stateAsk, asked), 0
 		return err == nil
 	}
 	if c.failures == 0 {
@@ -300,8 +322,10 @@
 // fresh tells whether new starts may rest on the mirror.
 func (c *Core) fresh() bool {
 	// Calls may be answered while the watch stands still: the mirror's own age
-	// counts too, or a task of a job withdrawn long ago could be started.
-	return c.loaded && c.registered() && c.since(c.stateOK) < c.cfg.HoldTTL/2 && c.since(c.mirrorAt) < c.cfg.HoldTTL
+	// counts too, or a task of a job withdrawn long ago could be started. Both count
+	// from when the request was sent: an answer may have lain in a socket while this
+	// process stood still, and its run may have ended meanwhile.
+	return c.loaded && c.registered() && c.since(c.stateAsk) < c.cfg.HoldTTL/2 && c.since(c.mirrorAt) < c.cfg.HoldTTL
 }
 
 func (c *Core) registered() bool { return c.self != 0 }
@@ -332,15 +356,15 @@
 func (c *Core) tick() {
 	now := c.now.Steady
 	if !c.loaded && !c.loading && !c.following && now >= c.retryAt {
-		c.loading = true
+		c.loading, c.loadAsk = true, now
 		c.emit(Load{})
 	}
 	if c.hold == 0 && !c.granting && now >= c.grantAt {
-		c.granting = true
+		c.granting, c.grantAsk = true, now
 		c.emit(Grant{c.cfg.HoldTTL})
 	}
 	if c.hold != 0 && !c.extending && now >= c.extendAt && c.since(c.grantAt) > c.cfg.HoldTTL/4 {
-		c.extending = true
+		c.extending, c.extendAsk = true, now
 		c.extendAt = now.Add(c.jitter(c.cfg.HoldTTL / 4))
 		c.emit(Extend{c.hold})
 	}
@@ -371,7 +395,7 @@
 
 func (c *Core) onLoad(v LoadResult) {
 	c.loading = false
-	if !c.heard(v.Err) {
+	if !c.heard(c.loadAsk, v.Err) {
 		c.retryAt = c.now.Steady.Add(c.jitter(500 * time.Millisecond))
 		return
 	}
@@ -383,8 +407,8 @@
 	for _, i := range v.Items {
 		c.mirrorPut(i.Key, i.Data, i.Stamp)
 	}
-	for _, id := range old.IDs() {
-		if c.mir.Machines[id] == nil {
+	for _, e := range old.List() {
+		if id := e.ID; c.mir.Machines[id] == nil {
 			if m := c.machines[id]; m != nil {
 				c.dropHeld(m)
 				delete(c.machines, id)
@@ -393,7 +417,7 @@
 	}
 	c.mir.Rev = v.From
 	c.until = v.Until
-	c.mirrorAt = c.now.Steady
+	c.mirrorAt = c.loadAsk
 	c.begun = true
 	c.loaded = c.mir.Rev >= c.until
 	c.log(slog.LevelInfo, "records read", "jobs", len(c.mir.Jobs), "machines", len(c.mir.Machines), "revision", uint64(v.From))
@@ -413,7 +437,7 @@
 		c.retryAt = c.now.Steady
 		return
 	}
-	if !c.heard(v.Err) {
+	if !c.heard(c.followAsk, v.Err) {
 		c.retryAt = c.now.Steady.Add(c.jitter(200 * time.Millisecond))
 		return
 	}
@@ -430,7 +454,7 @@
 	c.onLost()
 	c.stirred = true
 	c.mir.Rev = max(c.mir.Rev, v.News.Rev)
-	c.mirrorAt = c.now.Steady
+	c.mirrorAt = c.followAsk
 	if !c.loaded && c.mir.Rev >= c.until {
 		c.loaded = true
 	}
@@ -460,7 +484,7 @@
 		c.log(slog.LevelWarn, "lease has ended", "run", string(c.run))
 		c.self, c.hold = 0, 0
 	}
-	if !c.heard(v.Err) {
+	if !c.heard(c.extendAsk, v.Err) {
 		c.extendAt = c.now.Steady.Add(c.jitter(300 * time.Millisecond))
 	}
 }
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -257,3 +258,109 @@
 		}
 	}
 }
+
+// A controller that stood still reads, when it goes on, answers that lay in its
+// sockets, and nothing from workers that could not reach it: neither makes its
+// mirror fresh, nor its machines silent.
+func TestStoodStill(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		pause         time.Duration
+		fresh, silent bool
+	}{
+		{"no pause", 100 * time.Millisecond, true, false},
+		{"within its lease", 5 * time.Second, false, false},
+		{"past all leases", 48 * time.Second, false, false},
+	} {
+		core, step := begin(t)
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 1))})
+		for i := 0; i < 40; i++ { // all is asked for before the pause
+			step(50*time.Millisecond, Tick{})
+		}
+		step(c.pause, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+		step(0, ExtendResult{Hold: 7})
+		step(0, Tick{})
+		if core.fresh() != c.fresh || core.silent(m) != c.silent {
+			t.Errorf("%s: fresh %v, silent %v", c.name, core.fresh(), core.silent(m))
+		}
+		for i := 0; i < 4; i++ { // and what is asked for now is answered
+			step(600*time.Millisecond, Tick{})
+			step(0, ExtendResult{Hold: 7})
+			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+		}
+		if !core.fresh() {
+			t.Errorf("%s: not fresh again", c.name)
+		}
+		for i := 0; i < 10; i++ {
+			step(time.Second, Tick{})
+		}
+		if !core.silent(m) {
+			t.Errorf("%s: silence behind the pause is not noticed", c.name)
+		}
+	}
+}
+
+// A node that has lost its workers gives their pages away whole, and what it must
+// move machine by machine goes to pages that a value can hold. (Six hundred moved
+// to one page were refused as malformed again and again.)
+func TestHandOverMany(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pages int
+		seen  int // of the 60 machines on each
+		whole bool
+	}{{"most of each page", 2, 40, true}, {"some of each page", 6, 28, false}} {
+		core, step := begin(t)
+		step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
+		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+			t.Fatal(err)
+		}
+		var seen []Seen
+		for p := 0; p < c.pages; p++ {
+			var lines []string
+			for i := 0; i < 60; i++ {
+				id := protocol.MachineID(fmt.Sprintf("m-%06d", p*60+i))
+				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Shift: 1}
+				for k := 0; k < 4; k++ {
+					r.Assign(protocol.Task{Job: "j-000001", Piece: 4*i + k}, protocol.Attempt(1000+k))
+				}
+				lines = append(lines, r.Line(id))
+				if i < c.seen {
+					seen = append(seen, Seen{id, 1, 9})
+				}
+			}
+			if _, err := core.mir.Put(bk.PageKey(bk.PageID(fmt.Sprint("p-", p))), bk.EncodePage(core.run, 3, lines, nil), protocol.Stamp(4+p)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		step(0, Tick{})
+		for i := 0; i < 10; i++ { // all have fallen silent here
+			step(600*time.Millisecond, Tick{})
+			step(0, ExtendResult{Hold: 7})
+		}
+		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: seen}})
+		b := core.newBatch(24)
+		core.cfg.TxnOps = 24
+		core.handOver(b)
+		given, moved := 0, 0
+		for id, d := range b.pages {
+			if d.owner == core.run {
+				continue
+			}
+			if core.mir.Pages[id] != nil {
+				given++
+			} else {
+				moved += len(d.ids)
+			}
+		}
+		for _, then := range b.multi().Then {
+			if len(then.Data) > core.cfg.ValueBytes {
+				t.Errorf("%s: a value of %d bytes", c.name, len(then.Data))
+			}
+		}
+		if (given > 0) != c.whole || !c.whole && moved == 0 {
+			t.Errorf("%s: %d pages given, %d machines moved", c.name, given, moved)
+		}
+	}
+}
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -206,7 +206,7 @@
 func (c *Core) slow(list []share, d *protocol.Job, images bool) bool {
 	const roomMade = 6 // seconds that it takes to stop what runs, and to write it
 	return slices.ContainsFunc(list, func(s share) bool {
-		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.PullGB/s.r.fl.FetchGBPerS > roomMade && !c.machines[s.r.id].hasImage(d.Bundle)
+		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.PullGB/s.r.fl.FetchGBPerS > roomMade && !s.r.m.hasImage(d.Bundle)
 	})
 }
 
@@ -367,7 +367,7 @@
 	cost := map[*room]float64{}
 	var list []*room
 	for _, r := range rooms {
-		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) && (!warm || c.machines[r.id].hasImage(q.rec.Desc.Bundle)) {
+		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) && (!warm || r.m.hasImage(q.rec.Desc.Bundle)) {
 			list = append(list, r)
 		}
 	}
@@ -398,7 +398,7 @@
 			wait = max(wait, h.desc.StowS)
 		}
 	}
-	if !c.machines[r.id].hasImage(d.Bundle) && r.fl.FetchGBPerS > 0 {
+	if !r.m.hasImage(d.Bundle) && r.fl.FetchGBPerS > 0 {
 		wait += d.PullGB / r.fl.FetchGBPerS
 	}
 	return cost + wait*d.Cores
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -16,6 +16,7 @@
 // room is a machine as the planner sees it.
 type room struct {
 	id     protocol.MachineID
+	m      *mstate // nil: nothing is remembered of it here
 	rec    *bk.MachineRecord
 	fl     *protocol.Flavor
 	coming bool // rented, but not up yet: nothing is written to it
@@ -116,8 +117,8 @@
 
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
-	ids := c.mir.IDs()
-	out := make([]*room, 0, len(ids)+16)
+	list := c.mir.List()
+	out := make([]*room, 0, len(list)+16)
 	alive := map[bk.Run]bool{c.run: true}
 	for _, e := range c.mir.Members {
 		alive[e.Rec.Run] = true
@@ -127,13 +128,19 @@
 		flavors[c.flavors[i].Sku] = &c.flavors[i]
 	}
 	orders := map[*protocol.Job]int{}
-	for _, id := range ids {
-		rec := b.viewMachine(id)
+	for _, e := range list {
+		id, rec := e.ID, &e.Rec
+		if b.pages[rec.Page] != nil {
+			if b.gone(id) {
+				continue
+			}
+			rec = b.viewMachine(id)
+		}
 		fl := flavors[rec.Build]
-		if fl == nil || b.gone(id) {
+		if fl == nil {
 			continue
 		}
-		r := &room{id: id, rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
+		r := &room{id: id, m: c.machines[id], rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
 		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner]
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
@@ -474,7 +481,7 @@
 	if r.coming {
 		return s + 1e6
 	}
-	m := c.machines[r.id]
+	m := r.m
 	if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Bundle) {
 		s += min(j.PullGB/r.fl.FetchGBPerS, 60)
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -91,10 +91,7 @@
 		return
 	}
 	c.balancedAt = c.now.Steady
-	d := b.page(id)
-	d.owner = to
-	d.epoch++
-	b.log(slog.LevelInfo, "page handed over, its new owner has fewer", "page", string(id), "machines", len(d.ids), "to", string(to))
+	c.givePage(b, id, to, "page handed over, its new owner has fewer")
 }
 
 // takeOver makes this run the owner of a page, with all machines on it.
@@ -129,19 +126,47 @@
 	c.turn = 0
 }
 
-// handOver moves machines that report to another controller to a page of it.
+// handOver moves machines that report to another controller to a page of it. A
+// page most of whose machines do so goes over as a whole: one change, where a node
+// that has lost its workers has hundreds to give.
 func (c *Core) handOver(b *batch) {
-	to := map[bk.Run]bk.PageID{}
-	for _, id := range pick(c.machines, func(m *mstate) bool { return m.handTo != "" }) {
+	var ids []protocol.MachineID
+	want := map[bk.PageID]map[bk.Run]int{}
+	for _, id := range sorted(c.handing) {
 		m, e := c.machines[id], c.mir.Machines[id]
-		if e == nil || !c.mine(&e.Rec) || c.since(m.handAt) > 4*time.Second {
-			m.handTo = ""
+		if m == nil || e == nil || m.handTo == "" || !c.mine(&e.Rec) || c.since(m.handAt) > c.cfg.Report+4*time.Second {
+			delete(c.handing, id)
 			continue
 		}
-		if !c.quiet(m) || !c.mir.Alive(m.handTo) || e.Rec.Releasing || !b.hasRoom(2) {
+		if !c.quiet(m) || !c.mir.Alive(m.handTo) || e.Rec.Releasing {
 			continue
 		}
-		if to[m.handTo] == "" {
+		if want[e.Rec.Page] == nil {
+			want[e.Rec.Page] = map[bk.Run]int{}
+		}
+		want[e.Rec.Page][m.handTo]++
+		ids = append(ids, id)
+	}
+	for _, id := range sorted(want) {
+		best, all := bk.Run(""), 0
+		for _, to := range sorted(want[id]) {
+			if all += want[id][to]; best == "" || want[id][to] > want[id][best] {
+				best = to
+			}
+		}
+		if c.mostOf(c.mir.Pages[id], all) && b.hasRoom(1) && b.pages[id] == nil {
+			c.gaveAt = c.now.Steady
+			c.givePage(b, id, best, "page handed over, its workers report there")
+		}
+	}
+	to := map[bk.Run]bk.PageID{}
+	for _, id := range ids {
+		m, e := c.machines[id], c.mir.Machines[id]
+		if d := b.pages[e.Rec.Page]; d != nil && d.owner != c.run || !b.hasRoom(2) {
+			continue
+		}
+		// A page takes what fits into a value, whatever still begins there.
+		if page := to[m.handTo]; page == "" || b.pages[page].size+len(c.mir.Line(id)) > c.cfg.ValueBytes*3/4 {
 			to[m.handTo] = b.newPage(m.handTo, e.Rec.Epoch+1)
 		}
 		if page := to[m.handTo]; b.pages[page].epoch > e.Rec.Epoch {
@@ -153,6 +178,26 @@
 	}
 }
 
+// mostOf tells whether n machines are most of those of a page that talk: of what is
+// silent here and everywhere nothing can be said.
+func (c *Core) mostOf(p *bk.Page, n int) bool {
+	talk := 0
+	for _, id := range p.Machines {
+		if e := c.mir.Machines[id]; e != nil && e.Rec.Shift > 0 && !c.quiet(c.own(e, id)) {
+			talk++
+		}
+	}
+	return n > 2 && n > 2*talk && 2*n > len(p.Machines)
+}
+
+// givePage makes another run the owner of a page, with all machines on it.
+func (c *Core) givePage(b *batch, id bk.PageID, to bk.Run, why string) {
+	d := b.page(id)
+	d.owner = to
+	d.epoch++
+	b.log(slog.LevelInfo, why, "page", string(id), "machines", len(d.ids), "to", string(to))
+}
+
 // requeue takes a task back from a machine where it provably is no more.
 func (c *Core) requeue(b *batch, m *mstate, t protocol.Task, try protocol.Attempt) {
 	b.machine(m.id).Unassign(t)
@@ -325,14 +370,18 @@
 
 // quiet tells whether a worker has missed a report for sure.
 func (c *Core) quiet(m *mstate) bool {
-	return m.held == 0 && c.since(m.heardAt) > c.cfg.Report*5/4+1500*time.Millisecond
+	return m.held == 0 && c.unheard(m) > c.cfg.Report*5/4+1500*time.Millisecond
 }
 
 // silent tells whether a worker has missed several reports.
 func (c *Core) silent(m *mstate) bool {
-	return m.held == 0 && c.since(m.heardAt) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
+	return m.held == 0 && c.unheard(m) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
 }
 
+// unheard is for how long nothing has come from a worker while this process could
+// have heard it: one that stood still for seconds takes none of that for silence.
+func (c *Core) unheard(m *mstate) time.Duration { return c.since(max(m.heardAt, c.wokeAt)) }
+
 // gangBroken tells whether an attempt of a gang has been incomplete too long
 // to be one that is still being written.
 func (c *Core) gangBroken(id protocol.JobID, try protocol.Attempt) bool {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -134,12 +134,13 @@
 	for _, w := range c.waiters {
 		w.asked = true
 	}
+	c.revAsk = c.now.Steady
 	c.emit(ReadRev{})
 }
 
 func (c *Core) onRev(v RevResult) {
 	c.revOut = false
-	ok := c.heard(v.Err)
+	ok := c.heard(c.revAsk, v.Err)
 	c.waiters = slices.DeleteFunc(c.waiters, func(w *waiter) bool {
 		if !w.asked || w.rev != 0 {
 			return false
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"slices"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
@@ -14,31 +13,35 @@
 		return
 	}
 	c.watchGangs()
-	var owned []protocol.MachineID
-	for _, p := range c.ownPages() {
-		owned = append(owned, c.mir.Pages[p].Machines...)
+	type held struct {
+		e *bk.Machine
+		m *mstate
 	}
-	owned = slices.DeleteFunc(owned, func(id protocol.MachineID) bool {
-		e := c.mir.Machines[id]
-		return e == nil || !c.mine(&e.Rec)
-	})
-	slices.Sort(owned)
+	var owned []held
 	total, quiet := 0, 0
-	for _, id := range owned {
-		if e := c.mir.Machines[id]; e.Rec.Shift > 0 && !e.Rec.Releasing {
-			total++
-			if m := c.own(e, id); c.silent(m) {
-				quiet++
-				c.doubt(m)
+	for _, p := range c.ownPages() {
+		for _, id := range c.mir.Pages[p].Machines {
+			e := c.mir.Machines[id]
+			if e == nil || e.Rec.Page != p {
+				continue
+			}
+			m := c.own(e, id)
+			owned = append(owned, held{e, m})
+			if e.Rec.Shift > 0 && !e.Rec.Releasing {
+				total++
+				if c.silent(m) {
+					quiet++
+					c.doubt(m)
+				}
 			}
 		}
 	}
 	// If nearly all fall silent, it is this node that is cut off.
 	cutOff := quiet > 3 && quiet*3 > total*2
 	c.silentOwn = quiet
-	for _, id := range owned {
-		e := c.mir.Machines[id]
-		m := c.own(e, id)
+	c.leaving = c.leaving[:0]
+	for _, o := range owned {
+		e, m := o.e, o.m
 		c.tickStops(e, m)
 		c.tickRelease(e, m, cutOff)
 		if newer := m.confirmed < e.Rec.Baton; e.Rec.Shift > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
@@ -49,11 +52,13 @@
 			c.do(e, m, nil, 2*time.Second)
 		}
 	}
+	if c.now.Steady < c.forgetAt {
+		return
+	}
+	c.forgetAt = c.now.Steady.Add(2 * time.Second)
 	for id, m := range c.machines {
-		if e := c.mir.Machines[id]; e == nil && m.held == 0 {
+		if c.mir.Machines[id] == nil && m.held == 0 {
 			delete(c.machines, id)
-		} else if e != nil && !c.mine(&e.Rec) && m.held == 0 {
-			m.ownedRun = ""
 		}
 	}
 	for id := range c.jobs {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -25,6 +25,7 @@
 	Down  bool // outage: everything is answered with 503
 	Over  int  // transactions refused for their size
 	Value int  // the largest value it takes
+	Ops   int  // the most changes of a transaction
 	Max   int  // the largest value that was written
 
 	rev    protocol.Rev
@@ -38,7 +39,7 @@
 
 // NewState makes an empty store that keeps the given number of changes.
 func NewState(kept int) *State {
-	return &State{Value: 8192, items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
+	return &State{Value: 8192, Ops: 8, items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
 }
 
 func (s *State) stamp(key string) protocol.Stamp { return s.items[key].stamp }
@@ -85,7 +86,7 @@
 			size = 1 << 20
 		}
 	}
-	if len(m.Then) > 8 || len(m.When) > 32 || size > 64<<10 {
+	if len(m.Then) > s.Ops || len(m.When) > 4*s.Ops || size > 64<<10 {
 		s.Over++
 		return 400, protocol.MultiAnswer{Error: "too large"}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,8 @@
 	Faulty  bool // every task fails here
 	Cut     bool // reaches no controller
 	Deaf    bool // its reports arrive, answers and commands do not reach it
+	hung    bool // it stands still, and may go on
+	late    []func()
 	shift   protocol.Shift
 	tally   protocol.Tally
 	baton   protocol.Baton
@@ -108,6 +110,20 @@
 	m.waiting, m.changed = false, true
 }
 
+// Hang lets the machine stand still for a while: nothing on it goes on, what is
+// sent to it waits. Its lease runs out all the same.
+func (m *Worker) Hang(d time.Duration) {
+	m.hung = true
+	m.w.At(d, func() {
+		m.hung = false
+		late := m.late
+		m.late = nil
+		for _, f := range late {
+			f()
+		}
+	})
+}
+
 // step lets the machine's time pass.
 func (m *Worker) step() {
 	now := m.w.Now
@@ -124,7 +140,7 @@
 	for _, t := range m.order() {
 		k := m.tasks[t]
 		d := m.w.Jobs[t.Job]
-		if k.stage == protocol.Ended || now < k.next {
+		if m.hung || k.stage == protocol.Ended || now < k.next {
 			continue
 		}
 		switch k.stage {
@@ -152,6 +168,9 @@
 			m.end(t, k, "stopped")
 		}
 	}
+	if m.hung {
+		return
+	}
 	if m.waiting && now-m.sentAt > 4*time.Second {
 		m.waiting = false
 		m.node++
@@ -177,7 +196,10 @@
 	n := w.Nodes[m.node%len(w.Nodes)]
 	body := m.body()
 	w.toNode(n, m, body, func(status int, ans []byte) {
-		if m.Gone || !m.waiting || m.seq != seq || m.shift != shift {
+		if m.hung && w.Now-sent < 4*time.Second {
+			m.dueAt = w.Now + time.Second // a worker drops what it reads too late
+		}
+		if m.Gone || m.hung || !m.waiting || m.seq != seq || m.shift != shift {
 			return
 		}
 		m.waiting = false
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
@@ -45,6 +46,9 @@
 	NoState  bool // cut from the state service alone
 	NoWorker bool // cut from the workers alone
 	NoPeers  bool // cut from the other controllers
+	NoUsers  bool // cut from the users
+	frozen   bool // it stands still while its clocks run on
+	stuck    []coordination.Input
 	life     int
 	started  time.Duration
 	drift    float64
@@ -66,11 +70,13 @@
 	Report   time.Duration
 	Lease    time.Duration
 	GangWait time.Duration
-	Copies   float64 // part of the reports of which a copy comes late, to any controller
-	Drop     float64 // part of the messages that are lost or held up
+	Copies   float64                 // part of the reports of which a copy comes late, to any controller
+	Zone     map[protocol.Zone]*Node // zones that are cut off, with the controller in them
+	Drop     float64                 // part of the messages that are lost or held up
 	Done     map[protocol.JobID]bool
 	Saved    map[protocol.JobID]int // tasks that saved when they were stopped
 	Trace    func(string)
+	Cost     Costs // what steps take, if it is not nil
 
 	queue   events
 	seq     int
@@ -87,7 +93,7 @@
 	w := &World{Rng: rand.New(rand.NewPCG(seed, 11)), State: NewState(500), Rules: NewRules(30 * time.Second),
 		Workers: map[protocol.MachineID]*Worker{}, Jobs: map[protocol.JobID]*protocol.Job{}, Flavors: flavors,
 		Report: 2 * time.Second, Lease: 14 * time.Second, GangWait: 20 * time.Second, hires: map[string][]protocol.MachineID{},
-		Done: map[protocol.JobID]bool{}, Saved: map[protocol.JobID]int{}}
+		Zone: map[protocol.Zone]*Node{}, Done: map[protocol.JobID]bool{}, Saved: map[protocol.JobID]int{}}
 	for name, t := range teams {
 		w.Rules.Limits[name] = t.CoresMax
 	}
@@ -148,7 +154,7 @@
 
 // Start begins a new life of the controller.
 func (n *Node) Start() {
-	n.Alive = true
+	n.Alive, n.frozen, n.stuck = true, false, nil
 	n.life++
 	n.started = n.w.Now
 	n.reqs = map[coordination.ReqID]func(int, []byte){}
@@ -175,12 +181,59 @@
 	return coordination.Now{Steady: protocol.Instant(float64(n.w.Now-n.started)*n.drift) + 1, Wall: protocol.Millis(1e12 + n.w.Now.Milliseconds())}
 }
 
+// Freeze lets the controller stand still for a while: what comes in waits, and is
+// read in one go when it goes on.
+func (n *Node) Freeze(d time.Duration) {
+	n.frozen = true
+	life := n.life
+	n.w.At(d, func() {
+		if n.life != life || !n.Alive {
+			return
+		}
+		n.frozen = false
+		in := n.stuck
+		n.stuck = nil
+		for _, i := range in {
+			n.step(i)
+		}
+	})
+}
+
 func (n *Node) step(in coordination.Input) {
-	for _, e := range n.Core.Step(n.time(), in) {
+	if n.frozen {
+		if _, tick := in.(coordination.Tick); !tick {
+			n.stuck = append(n.stuck, in)
+		}
+		return
+	}
+	began := time.Now()
+	out := n.Core.Step(n.time(), in)
+	if n.w.Cost != nil {
+		n.w.Cost.add(in, time.Since(began))
+	}
+	for _, e := range out {
 		n.effect(e)
 	}
 }
 
+// Cost is what the steps of one kind of input took.
+type Cost struct {
+	Count int
+	Time  time.Duration
+}
+
+// Costs are kept by the kind of input.
+type Costs map[string]*Cost
+
+func (c Costs) add(in coordination.Input, d time.Duration) {
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", in), "coordination.")
+	if c[kind] == nil {
+		c[kind] = &Cost{}
+	}
+	c[kind].Count++
+	c[kind].Time += d
+}
+
 // call sends something to an outside system and brings the answer back. Either
 // way may be lost, or the request may be carried out late; the controller then
 // hears nothing until its time is up.
@@ -238,6 +291,9 @@
 		n.call(n.NoState, wait, func() coordination.Input {
 			status, a := w.State.Multi(v.Multi)
 			o := map[int]bk.Outcome{200: bk.Applied, 409: bk.Conflict, 503: bk.Refused, 400: bk.NoLease}[status]
+			if a.Error == "too large" {
+				o = bk.Invalid
+			}
 			return coordination.CommitResult{ID: v.ID, Outcome: o, Answer: a}
 		}, coordination.CommitResult{ID: v.ID, Outcome: bk.Unknown, Err: errLost})
 	case coordination.Load:
@@ -276,7 +332,7 @@
 	case coordination.SendShow:
 		n.call(n.NoWorker, 2*time.Second, func() coordination.Input {
 			m := w.Workers[v.Machine]
-			if m == nil || m.Gone || m.Cut || m.Deaf {
+			if m == nil || w.apart(n, m) || m.Gone || m.Cut || m.Deaf || m.hung {
 				return nil
 			}
 			r, err := protocol.ParseReport(m.body())
@@ -285,7 +341,11 @@
 	case coordination.SendDo:
 		n.call(n.NoWorker, 2*time.Second, func() coordination.Input {
 			m := w.Workers[v.Machine]
-			if m == nil || m.Gone || m.Deaf {
+			if m == nil || w.apart(n, m) || m.Gone || m.Deaf {
+				return nil
+			}
+			if m.hung { // carried out late, if token and session still match
+				m.late = append(m.late, func() { m.Do(v.Orders) })
 				return nil
 			}
 			_, body := m.Do(v.Orders)
@@ -457,6 +517,16 @@
 	}
 }
 
+// apart tells whether a cut zone lies between a controller and a machine.
+func (w *World) apart(n *Node, m *Worker) bool {
+	for z, in := range w.Zone {
+		if (m.Zone == z) != (n == in) {
+			return true
+		}
+	}
+	return false
+}
+
 // toNode brings a worker's report to a controller and the answer back.
 func (w *World) toNode(n *Node, m *Worker, body []byte, back func(int, []byte)) {
 	if w.Copies > 0 && w.Rng.Float64() < w.Copies {
@@ -468,7 +538,7 @@
 		})
 	}
 	d := w.delay()
-	if m.Cut || n.NoWorker || w.Rng.Float64() < w.Drop {
+	if m.Cut || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
 		if w.Rng.IntN(2) == 0 {
 			return
 		}
@@ -480,7 +550,7 @@
 			return
 		}
 		n.Beat(body, func(status int, b []byte) {
-			if m.Cut || m.Deaf || n.NoWorker || w.Rng.Float64() < w.Drop {
+			if m.Cut || m.Deaf || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
 				return
 			}
 			w.At(w.delay(), func() { back(status, b) })
@@ -503,7 +573,7 @@
 func (w *World) balance() *Node {
 	var healthy []*Node
 	for _, n := range w.Nodes {
-		if n.Alive && n.Core.Healthy() {
+		if n.Alive && !n.frozen && !n.NoUsers && n.Core.Healthy() {
 			healthy = append(healthy, n)
 		}
 	}
@@ -531,7 +601,7 @@
 	}
 	w.At(5*time.Second, func() { tell(0, "") })
 	w.At(w.delay(), func() {
-		if !n.Alive {
+		if !n.Alive || n.NoUsers {
 			tell(0, "")
 			return
 		}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -187,6 +187,33 @@
 				w.At(s(30+6*i), func() { w.Workers[id].Reboot() })
 			}
 		}},
+		{"controllers stand still in turn, within their lease and past it", 0.01, func(w *World) {
+			w.Copies = 0.1
+			for i, n := range w.Nodes {
+				w.At(s(20+30*i), func() { n.Freeze(s([]int{4, 9, 22}[i])) })
+			}
+		}},
+		{"machines hang, and go on within their lease or behind it", 0.01, func(w *World) {
+			for i := 0; i < 8; i++ {
+				m := w.Workers[protocol.MachineID(fmt.Sprintf("m-%06d", 1+i))]
+				w.At(s(15+7*i), func() { m.Hang(s(4 + 5*i)) })
+			}
+			w.At(s(50), w.Nodes[1].Kill)
+			w.At(s(51), w.Nodes[1].Start)
+		}},
+		{"a zone is cut off with the controller in it, and goes on inside", 0, func(w *World) {
+			n := w.Nodes[2]
+			w.At(s(25), func() {
+				n.NoState, n.NoPeers, n.NoUsers = true, true, true
+				w.Zone["b"] = n
+			})
+			w.At(s(30), w.Nodes[0].Kill)
+			w.At(s(30)+300*time.Millisecond, w.Nodes[0].Start)
+			w.At(s(65), func() {
+				n.NoState, n.NoPeers, n.NoUsers = false, false, false
+				delete(w.Zone, "b")
+			})
+		}},
 		{"everything at once", 0.03, func(w *World) {
 			for i := 0; i < 5; i++ {
 				n := w.Nodes[i%3]
