--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -408,6 +409,47 @@
 	return pick(c.mir.Pages, func(p *bk.Page) bool { return c.run != "" && p.Owner == c.run })
 }
 
+// joinPages puts what is left on a page that has lost most of its machines onto
+// another page of this run: each page costs a change of its own whenever something
+// begins or ends there. One at a time, and only to where batons do not fall.
+func (c *Core) joinPages(b *batch) {
+	if c.now.Steady < c.joinAt || !b.hasRoom(2) {
+		return
+	}
+	c.joinAt = c.now.Steady.Add(c.cfg.BalanceGap)
+	own := c.ownPages()
+	load := map[bk.PageID]int{}
+	for _, id := range own {
+		load[id] = b.pageLoad(c.mir.Pages[id].Machines)
+	}
+	slices.SortStableFunc(own, func(a, z bk.PageID) int { return cmp.Compare(load[a], load[z]) })
+	for _, id := range own {
+		p := c.mir.Pages[id]
+		if load[id] > c.cfg.ValueBytes/3 || len(p.Machines) == 0 || b.pages[id] != nil {
+			continue
+		}
+		for _, to := range own {
+			t := c.mir.Pages[to]
+			if to == id || b.pages[to] != nil || t.Epoch < p.Epoch || len(t.Machines) == 0 ||
+				load[to]+load[id] > c.cfg.ValueBytes*7/8 || t.Size+p.Size > c.cfg.ValueBytes*3/4 {
+				continue
+			}
+			from := b.page(id)
+			for _, m := range p.Machines {
+				b.move(m, to)
+			}
+			into := b.page(to)
+			for j, r := range from.done {
+				into.done[j] = into.done[j].Union(r)
+				into.size += 20 + len(r.String())
+			}
+			clear(from.done)
+			b.log(slog.LevelInfo, "pages joined", "page", string(id), "machines", len(p.Machines), "to", string(to))
+			return
+		}
+	}
+}
+
 // splitPages cuts own pages in two that come near the size of a value.
 func (c *Core) splitPages(b *batch) {
 	for _, id := range c.ownPages() {
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -189,7 +189,25 @@
 			}
 		}
 	}
-	return c.holdIdle(e, m)
+	return c.expecting(e, m) || c.holdIdle(e, m)
+}
+
+// expecting tells whether the plan has tasks for the machine that its owner waits to
+// see on record, most often those of a job that another controller has claimed. The
+// answer waits for them within beatHold: without that a core that has become free
+// stays so for half a report interval on average, where tasks are short a tenth of
+// all cores.
+func (c *Core) expecting(e *bk.Machine, m *mstate) bool {
+	rec := &e.Rec
+	if !c.planned.expects[m.id] || !c.fresh() || rec.Releasing || rec.Drain || m.rep.RecallS != nil {
+		return false
+	}
+	for i := range rec.Assigned {
+		if j := c.mir.Jobs[rec.Assigned[i].Job]; j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() || !c.allShown(m, &rec.Assigned[i]) {
+			return false // there is something to start
+		}
+	}
+	return true
 }
 
 // beatHold is how long a report with news waits for the write. Where reports are
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -67,6 +67,7 @@
 			c.place(b)
 		}
 		c.splitPages(b)
+		c.joinPages(b)
 		c.settleDone(b)
 		c.writeMachines(b)
 		c.writeCloud(b)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -41,6 +41,7 @@
 	wokeAt    protocol.Instant // when this process last went on after it had stood still
 	stepAt    protocol.Instant // last step
 	failures  int
+	downAt    protocol.Instant // when the first of those was
 
 	// This process run.
 	run       bk.Run
@@ -69,6 +70,7 @@
 	txCap      int     // changes that a transaction may have now
 	gangNeeds  int     // changes that a gang needs which found no room in the last one
 	pageSeq    int
+	joinAt     protocol.Instant // when pages may next be joined
 	balancedAt protocol.Instant // when a page was last given to another controller
 	gaveAt     protocol.Instant // when a machine last left for a controller that its worker reached instead
 	turn       int              // of own pages, the one to go on with
@@ -308,6 +310,7 @@
 		return err == nil
 	}
 	if c.failures == 0 {
+		c.downAt = c.now.Steady
 		c.log(slog.LevelWarn, "state service does not answer", "err", err.Error())
 	}
 	c.failures++
@@ -334,9 +337,13 @@
 // it stays healthy: it can answer, if only that the user must come back.
 func (c *Core) Healthy() bool {
 	if !c.loaded || c.run == "" {
-		return false
-	}
-	if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
+		// A process that begins in an outage has read nothing, and is no worse than
+		// the others: it says so at once, and serves as soon as it can, while a node
+		// that was called unhealthy would be passed over for a while behind the outage.
+		if c.failures == 0 || c.since(c.downAt) < 2*time.Second {
+			return false
+		}
+	} else if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
 		return true
 	}
 	heard := c.cfg.Peers == 0
@@ -496,8 +503,8 @@
 	}
 	seen := map[bk.Run]bool{}
 	note := func(r bk.Run) {
-		if r == "" || c.mir.Alive(r) {
-			return
+		if c.mir.Alive(r) {
+			return // nobody's things are a dead run's too
 		}
 		seen[r] = true
 		if _, ok := c.deadAt[r]; !ok {
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -310,7 +310,8 @@
 		pages int
 		seen  int // of the 60 machines on each
 		whole bool
-	}{{"most of each page", 2, 40, true}, {"some of each page", 6, 28, false}} {
+		late  bool // the pages have changed hands since the machines were seen elsewhere
+	}{{"most of each page", 2, 40, true, false}, {"some of each page", 6, 28, false, false}, {"of an earlier ownership", 2, 28, false, true}} {
 		core, step := begin(t)
 		step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
 		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
@@ -340,6 +341,15 @@
 			step(0, ExtendResult{Hold: 7})
 		}
 		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: seen}})
+		if c.late {
+			for id, p := range core.mir.Pages {
+				var lines []string
+				for _, m := range p.Machines {
+					lines = append(lines, core.mir.Line(m))
+				}
+				core.mir.Put(bk.PageKey(id), bk.EncodePage(core.run, 5, lines, nil), 99)
+			}
+		}
 		b := core.newBatch(24)
 		core.cfg.TxnOps = 24
 		core.handOver(b)
@@ -348,6 +358,9 @@
 			if d.owner == core.run {
 				continue
 			}
+			if d.owner == "" {
+				t.Errorf("%s: a page is given to nobody", c.name)
+			}
 			if core.mir.Pages[id] != nil {
 				given++
 			} else {
@@ -359,8 +372,132 @@
 				t.Errorf("%s: a value of %d bytes", c.name, len(then.Data))
 			}
 		}
-		if (given > 0) != c.whole || !c.whole && moved == 0 {
+		if (given > 0) != c.whole || (moved > 0) == (c.whole || c.late) {
 			t.Errorf("%s: %d pages given, %d machines moved", c.name, given, moved)
 		}
 	}
 }
+
+// A process that begins in an outage takes requests, if only to send users away at
+// once, unless it alone is cut off.
+func TestHealthyInOutage(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		hints []bool // of other nodes: whether they reach the state service
+		want  bool
+	}{
+		{"not known yet", time.Second, []bool{false, false}, false},
+		{"an outage that all see", 4 * time.Second, []bool{false, false}, true},
+		{"it alone is cut off", 4 * time.Second, []bool{false, true}, false},
+		{"it hears nobody", 4 * time.Second, nil, false},
+	} {
+		now := Now{Steady: 1, Wall: 1e12}
+		core := New(Config{Member: "stall-0", Peers: 2, WriteRPS: 100, TxnOps: 8, ValueBytes: 8192, Tuning: DefaultTuning()}, now)
+		for core.since(1) < c.after {
+			core.Step(now, Tick{})
+			core.Step(now, LoadResult{Err: errOutcome})
+			for k, ok := range c.hints {
+				core.Step(now, HintInput{Hint{Member: protocol.Member(rune('a' + k)), StateOK: ok}})
+			}
+			now.Steady = now.Steady.Add(500 * time.Millisecond)
+			core.Step(now, Tick{})
+		}
+		if got := core.Healthy(); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A page that has lost most of its machines is joined with another, with all that
+// it knows to be done; never where a machine's baton would fall.
+func TestJoinPages(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		small, large   int // machines on each
+		eSmall, eLarge bk.Epoch
+		want           bool
+	}{
+		{"one has few", 5, 30, 3, 3, true},
+		{"the other's epoch is higher", 5, 30, 3, 4, true},
+		{"the other's epoch is lower", 5, 30, 4, 3, false},
+		{"both have many", 30, 30, 3, 3, false},
+		{"the other is full", 5, 56, 3, 3, false},
+	} {
+		core, step := begin(t)
+		step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
+		n := 0
+		put := func(id bk.PageID, epoch bk.Epoch, count int, done bk.Ranges) {
+			var lines []string
+			for range count {
+				n++
+				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Shift: 1}
+				lines = append(lines, r.Line(protocol.MachineID(fmt.Sprintf("m-%06d", n))))
+			}
+			data := bk.EncodePage(core.run, epoch, lines, map[protocol.JobID]bk.Ranges{"j-1": done})
+			if _, err := core.mir.Put(bk.PageKey(id), data, 4); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("a", c.eSmall, c.small, bk.Range(0, 3))
+		put("b", c.eLarge, c.large, bk.Range(4, 5))
+		b := core.newBatch(8)
+		core.joinPages(b)
+		m := b.multi()
+		if joined := len(m.Then) == 2; joined != c.want {
+			t.Errorf("%s: joined %v", c.name, joined)
+		}
+		if !c.want {
+			continue
+		}
+		for _, th := range m.Then {
+			if th.Put != "" {
+				core.mir.Put(th.Put, th.Data, 9)
+			} else {
+				core.mir.Delete(th.Delete, 9)
+			}
+		}
+		if len(core.mir.Pages) != 1 || len(core.mir.Machines) != n || len(core.mir.Lost()) != 0 || core.mir.Done("j-1").String() != "0-5" {
+			t.Errorf("%s: %d pages, %d of %d machines, done %s", c.name, len(core.mir.Pages), len(core.mir.Machines), n, core.mir.Done("j-1"))
+		}
+	}
+}
+
+// A machine that is merely slow is known by its tasks against others of their jobs.
+func TestSlowMachine(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		seconds []int // that its tasks run; others take 10
+		before  bool  // its tasks had begun when this run took it over
+		want    bool
+	}{
+		{"as others", []int{10, 11, 9, 10, 11, 10}, false, false},
+		{"one long task", []int{10, 40, 10, 10, 10, 10}, false, false},
+		{"all slow", []int{25, 24, 26, 25, 25, 26}, false, true},
+		{"slow, not seen to begin", []int{25, 24, 26, 25, 25, 26}, true, false},
+		{"was slow, has mended", []int{25, 25, 25, 25, 10, 10, 10, 10, 10, 10}, false, false},
+	} {
+		core, step := begin(t)
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		j := core.jstate("j-1")
+		j.runs, j.runTime = 100, 1000*time.Second
+		tally := protocol.Tally(0)
+		beat := func(after int, pieces ...protocol.TaskReport) {
+			tally++
+			step(time.Duration(after)*time.Second, BeatInput{Req: ReqID(tally), Body: protocol.Encode(report(e, tally, pieces...))})
+		}
+		beat(0)
+		for i, s := range c.seconds {
+			if c.before {
+				m.clear()
+			}
+			task := protocol.Task{Job: "j-1", Piece: i}
+			beat(1, protocol.TaskReport{Task: task, Try: 1, Stage: protocol.TaskRunning})
+			beat(s, protocol.TaskReport{Task: task, Try: 1, Stage: protocol.Ended, Cause: protocol.CauseDone})
+			core.paced(m, task)
+		}
+		if got := m.pace.slow(); got != c.want {
+			t.Errorf("%s: slow %v, %.2f times", c.name, got, m.pace.ratio)
+		}
+	}
+}
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -80,6 +80,7 @@
 		for _, s := range best {
 			q.put(s.r, s.n, 0)
 			c.planned.busy[s.r.id] = true
+			c.planned.expects[s.r.id] = true
 		}
 		return
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -1,6 +1,9 @@
 package coordination
 
 import (
+	"log/slog"
+	"time"
+
 	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
@@ -44,7 +47,10 @@
 	doOut  bool
 
 	firstSeen map[protocol.Task]protocol.Instant
-	images    []image // most recently used last
+	running   map[protocol.Task]protocol.Instant // since when tasks are seen to run
+	unread    bool                               // no report has come under this ownership
+	pace      pace                               // of the machine against others
+	images    []image                            // most recently used last
 	errJobs   map[protocol.JobID]bool
 	restUntil protocol.Instant
 	recallAt  protocol.Instant // 0: none; else when the cloud takes it
@@ -73,6 +79,8 @@
 	claim      bk.Run
 	failedOn   map[protocol.MachineID]bool
 	given      int // tasks placed so far, each time counted
+	runs       int // tasks that were seen from their begin to their end
+	runTime    time.Duration
 	notBefore  protocol.Instant
 	brokenAt   protocol.Instant
 	withdrawn  protocol.Instant
@@ -96,9 +104,56 @@
 	m.barred = map[protocol.Task]protocol.Attempt{}
 	m.stops = map[protocol.Task]stopOrder{}
 	m.firstSeen = map[protocol.Task]protocol.Instant{}
+	m.running = map[protocol.Task]protocol.Instant{}
+	m.unread = true
 	m.errJobs = map[protocol.JobID]bool{}
 }
 
+// pace is how long a machine's tasks run, as a multiple of what others of the same
+// jobs do, smoothed over the last few.
+type pace struct {
+	n     int
+	ratio float64
+}
+
+// slow tells whether a machine is surely slower than its like: a tenth is usual,
+// and tasks differ by themselves.
+func (p pace) slow() bool { return p.n >= slowSamples && p.ratio > slowRatio }
+
+// begunBefore stands for the begin of a task that another owner saw, or nobody.
+const begunBefore protocol.Instant = -1
+
+const (
+	slowSamples = 4   // one long task says nothing
+	slowRatio   = 1.8 // estimates of one job's tasks, seen through reports, differ by less
+)
+
+// paced takes in a task that was done.
+func (c *Core) paced(m *mstate, t protocol.Task) {
+	at := m.running[t]
+	if at <= 0 {
+		return
+	}
+	j, d := c.jstate(t.Job), c.since(at)
+	if j.runs >= slowSamples {
+		ratio := d.Seconds() / max(j.runTime.Seconds()/float64(j.runs), 1)
+		before := m.pace.slow()
+		if m.pace.n++; m.pace.n == 1 {
+			m.pace.ratio = ratio
+		} else {
+			m.pace.ratio += (ratio - m.pace.ratio) / slowSamples
+		}
+		if now := m.pace.slow(); now != before {
+			c.log(slog.LevelInfo, "machine is slow", "machine", string(m.id), "on", now, "times", m.pace.ratio)
+		}
+	}
+	// Slow machines do not set the measure.
+	if !m.pace.slow() {
+		j.runs++
+		j.runTime += d
+	}
+}
+
 func (c *Core) jstate(id protocol.JobID) *jstate {
 	j := c.jobs[id]
 	if j == nil {
@@ -150,6 +205,17 @@
 		if p.Stage != protocol.Ended && m.firstSeen[p.Task] == 0 {
 			m.firstSeen[p.Task] = now
 		}
+		if p.Stage == protocol.TaskRunning && m.running[p.Task] == 0 {
+			if m.running[p.Task] = now; m.unread {
+				m.running[p.Task] = begunBefore
+			}
+		}
+	}
+	m.unread = false
+	for t := range m.running {
+		if m.byTask[t] == nil {
+			delete(m.running, t)
+		}
 	}
 	for t := range m.firstSeen {
 		if p := m.byTask[t]; p == nil || p.Stage == protocol.Ended {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math"
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 
@@ -37,21 +36,6 @@
 	order int
 }
 
-// task of a job in the planner's order.
-type queued struct {
-	id     protocol.JobID
-	rec    *bk.JobRecord
-	order  int
-	turn   int // the order in which it is served: that of its rank, or a better one
-	due    protocol.Millis
-	late   bool
-	zones  map[protocol.Zone]int
-	placed int
-	done   int
-	aged   bool // has waited so long without beginning that it goes before all others
-	old    bool // has been here so long that a part of the fleet goes to it first
-}
-
 // want is demand that no machine, up or coming, can take.
 type want struct {
 	job    protocol.JobID
@@ -66,6 +50,7 @@
 type plan struct {
 	at       protocol.Instant
 	busy     map[protocol.MachineID]bool // machines that the plan wants to keep
+	expects  map[protocol.MachineID]bool // those on which it has tasks that are not written yet
 	free     []*room                     // machines that may still take something
 	reserved map[int]bool                // orders in which a job waits for machines to empty
 }
@@ -189,114 +174,6 @@
 	return out
 }
 
-// order ranks jobs: a smaller one goes first and may take the place of a
-// larger one. A team within its guarantee goes before all others.
-func (c *Core) order(j *protocol.Job) int {
-	if c.guaranteed(j.Desk) {
-		return -1
-	}
-	return j.Rank.Order()
-}
-
-// guaranteed tells whether a team's unfinished jobs fit into its guarantee.
-func (c *Core) guaranteed(desk string) bool {
-	t := c.cfg.Teams[desk]
-	if t.Cores <= 0 && t.Accels <= 0 || len(c.cfg.Teams) < 2 {
-		return false
-	}
-	cores, accels := 0.0, 0.0
-	for id, e := range c.mir.Open {
-		if d := e.Rec.Desc; d.Desk == desk {
-			left := float64(d.Pieces - c.mir.Done(id).Len())
-			cores += left * d.Cores
-			accels += left * d.Accelerators
-		}
-	}
-	return cores <= t.Cores+eps && accels <= t.Accels+eps
-}
-
-// queue lists the unfinished jobs in the order in which they are served.
-func (c *Core) queue(b *batch, rooms []*room) []*queued {
-	byJob := map[protocol.JobID]*queued{}
-	var out []*queued
-	for id := range c.mir.Open {
-		r := b.viewJob(id)
-		if r.Stage.Final() || r.Desc == nil {
-			continue
-		}
-		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: b.viewDone(id).Len()}
-		q.turn = q.order
-		c.urgency(q)
-		byJob[id] = q
-		out = append(out, q)
-	}
-	for _, r := range rooms {
-		for _, h := range r.used {
-			if q := byJob[h.job]; q != nil {
-				q.placed += h.n
-				q.zones[r.rec.Yard] += h.n
-			}
-		}
-	}
-	for _, q := range out {
-		waited := time.Duration(c.now.Wall-q.rec.Sent) * time.Millisecond
-		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0
-		q.old = waited > 2*c.cfg.AgeAfter && !q.aged && !q.rec.Desc.Gang()
-	}
-	sort.Slice(out, func(i, k int) bool {
-		a, z := out[i], out[k]
-		switch {
-		case a.aged != z.aged:
-			return a.aged
-		case a.aged && a.rec.Sent != z.rec.Sent:
-			return a.rec.Sent < z.rec.Sent
-		case a.turn != z.turn:
-			return a.turn < z.turn
-		case a.late != z.late:
-			return z.late
-		case a.due != z.due:
-			return a.due < z.due
-		}
-		return a.id < z.id
-	})
-	return out
-}
-
-// urgency tells by when a job is to be served: the first of its class's aims, and
-// of its deadline, that can still be met. What has missed all of them goes last
-// within its rank. A job of low rank whose tasks should begin soon is served like
-// the rank above: it stops nobody's work, but gets some of what becomes free.
-func (c *Core) urgency(q *queued) {
-	d, sent := q.rec.Desc, q.rec.Sent
-	aims := c.cfg.Aims[d.Lane]
-	q.due, q.late = sent+protocol.Millis(600_000), true
-	reach := func(within, lead time.Duration) {
-		due := sent + protocol.Millis(within.Milliseconds())
-		if c.now.Wall+protocol.Millis(lead.Milliseconds()) <= due && (q.late || due < q.due) {
-			q.due, q.late = due, false
-		}
-	}
-	run := protocol.Seconds(d.ReckonS / 2) // estimates are often wrong by half
-	for _, w := range aims.Wait {
-		reach(w, 0)
-		if left := sent + protocol.Millis(w.Milliseconds()) - c.now.Wall; q.turn > 1 && left > 0 && 3*left < protocol.Millis(w.Milliseconds()) {
-			q.turn--
-		}
-	}
-	for _, w := range aims.Finished {
-		reach(w, run)
-	}
-	if d.DueS != nil {
-		reach(protocol.Seconds(*d.DueS), run)
-		for _, n := range aims.Times {
-			reach(protocol.Seconds(*d.DueS*n), run)
-		}
-	}
-	if len(aims.Wait)+len(aims.Finished) == 0 && d.DueS == nil {
-		q.late = false
-	}
-}
-
 // zoneRoom tells how many more tasks of the job may be in the zone.
 func (q *queued) zoneRoom(z protocol.Zone) int {
 	d := q.rec.Desc
@@ -344,6 +221,7 @@
 func (c *Core) place(b *batch) {
 	c.planned.at = c.now.Steady
 	c.planned.busy = map[protocol.MachineID]bool{}
+	c.planned.expects = map[protocol.MachineID]bool{}
 	c.demand = c.demand[:0]
 	if len(c.flavors) == 0 {
 		return
@@ -488,6 +366,9 @@
 	if r.rec.Loaner {
 		s -= 5
 	}
+	if m != nil && m.pace.slow() {
+		s += slowPenalty
+	}
 	if r.rec.Owner != q.rec.Claim {
 		s += foreignPage
 	} else if m == nil || m.held == 0 {
@@ -499,6 +380,10 @@
 	return s
 }
 
+// slowPenalty puts slow machines behind all others of their size: they still serve
+// when there is nothing else, and go back first as they idle first.
+const slowPenalty = 120
+
 // foreignPage is how many seconds a page of one's own is better than another's.
 const foreignPage = 8
 
@@ -634,8 +519,11 @@
 			b.assign(r.id, q.id, open[:n], try)
 			open = open[n:]
 			c.placed(b, q, r, n, try)
-		} else if ours {
-			open = open[n:]
+		} else {
+			if ours {
+				open = open[n:]
+			}
+			c.planned.expects[r.id] = true
 		}
 		q.put(r, n, 0)
 		c.planned.busy[r.id] = true
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -133,8 +133,14 @@
 	var ids []protocol.MachineID
 	want := map[bk.PageID]map[bk.Run]int{}
 	for _, id := range sorted(c.handing) {
-		m, e := c.machines[id], c.mir.Machines[id]
-		if m == nil || e == nil || m.handTo == "" || !c.mine(&e.Rec) || c.since(m.handAt) > c.cfg.Report+4*time.Second {
+		e := c.mir.Machines[id]
+		if e == nil || !c.mine(&e.Rec) {
+			delete(c.handing, id)
+			continue
+		}
+		// What an earlier ownership was told is forgotten first.
+		m := c.own(e, id)
+		if m.handTo == "" || c.since(m.handAt) > c.cfg.Report+4*time.Second {
 			delete(c.handing, id)
 			continue
 		}
@@ -323,6 +329,7 @@
 			return false
 		}
 		b.taskDone(m.id, t)
+		b.marks = append(b.marks, func() { c.paced(m, t) })
 		c.requeue(b, m, t, try)
 		b.finish(t.Job)
 		clear(m.errJobs)
