Free room goes first to jobs that its page's owner has claimed; some of each write to others' pages

Each transaction was filled by news of own pages (8.5 of 12 tokens, 13 own pages), so a job's tasks could not be written to others' pages, while the plan kept that room for them. Ruled out: 2-core tasks that do not pack (they do), conflicts (0 to 7 in 20 s).

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -69,7 +69,15 @@
 		c.splitPages(b)
 		c.joinPages(b)
 		c.settleDone(b)
+		// Own pages have news all the time; some room is left for others' pages, or what
+		// is free there would wait for ever.
+		keep := 0
+		if c.planned.abroad {
+			keep = b.room / 4
+		}
+		b.room -= keep
 		c.writeMachines(b)
+		b.room += keep
 		c.writeCloud(b)
 		if !first {
 			c.place(b)
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -175,7 +175,7 @@
 	d := q.rec.Desc
 	list := rooms
 	if freed == nil {
-		list = c.candidates(b, q)
+		list = c.candidates(b, q, false)
 	}
 	for _, r := range list {
 		if n == 0 {
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -149,6 +149,11 @@
 	}
 }
 
+// alike tells whether nothing but their dues puts one job before the other.
+func (q *queued) alike(o *queued) bool {
+	return q.turn == o.turn && q.late == o.late && !q.aged && !o.aged
+}
+
 // shed gives up aims of the largest arrays where not all can be met: in the order
 // of their dues alone each of them would come a little too late, one behind the
 // other. It is Moore's rule for the fewest late jobs, over a fleet of cores
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -50,6 +50,7 @@
 type plan struct {
 	at       protocol.Instant
 	busy     map[protocol.MachineID]bool // machines that the plan wants to keep
+	abroad   bool                        // tasks of own jobs wait to be written to others' pages
 	expects  map[protocol.MachineID]bool // those on which it has tasks that are not written yet
 	free     []*room                     // machines that may still take something
 	reserved map[int]bool                // orders in which a job waits for machines to empty
@@ -221,6 +222,7 @@
 func (c *Core) place(b *batch) {
 	c.planned.at = c.now.Steady
 	c.planned.busy = map[protocol.MachineID]bool{}
+	c.planned.abroad = false
 	c.planned.expects = map[protocol.MachineID]bool{}
 	c.demand = c.demand[:0]
 	if len(c.flavors) == 0 {
@@ -232,12 +234,32 @@
 	c.planned.free = slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.closed })
 	queue := c.queue(b, rooms)
 	c.placeOld(b, queue, rooms)
-	for _, q := range queue {
+	for len(queue) > 0 {
+		n := 1
+		for n < len(queue) && queue[n].alike(queue[0]) {
+			n++
+		}
+		c.placeGroup(b, queue[:n], rooms)
+		queue = queue[n:]
+	}
+}
+
+// placeGroup places jobs that differ in their dues only. What is free on a page goes
+// first to arrays whose claimant owns it, and then to those of others: a controller
+// writes its own pages all the time, one of another's is a change more, which under
+// a tight budget comes late while the room waits for it.
+func (c *Core) placeGroup(b *batch, group []*queued, rooms []*room) {
+	for _, q := range group {
 		c.claim(b, q)
 		if q.rec.Desc.Gang() {
 			c.placeGang(b, q, rooms)
-		} else {
-			c.placeArray(b, q, rooms, protocol.MaxPieces)
+		} else if len(group) > 1 {
+			c.placeArray(b, q, rooms, protocol.MaxPieces, true)
+		}
+	}
+	for _, q := range group {
+		if !q.rec.Desc.Gang() {
+			c.placeArray(b, q, rooms, protocol.MaxPieces, false)
 		}
 	}
 }
@@ -268,7 +290,7 @@
 		if n := int(share / cores); n > 0 {
 			c.claim(b, q)
 			before := q.placed
-			c.placeArray(b, q, rooms, n)
+			c.placeArray(b, q, rooms, n, false)
 			share -= float64(q.placed-before) * cores
 		}
 	}
@@ -418,8 +440,8 @@
 }
 
 // candidates lists the machines that can take a task of the job, best first,
-// machines of one page together.
-func (c *Core) candidates(b *batch, q *queued) []*room {
+// machines of one page together; home: those on its claimant's pages only.
+func (c *Core) candidates(b *batch, q *queued, home bool) []*room {
 	type scored struct {
 		r *room
 		s float64
@@ -431,7 +453,7 @@
 			continue // full by now, for all that come later
 		}
 		left = append(left, r)
-		if r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
+		if (!home || r.rec.Owner == q.rec.Claim) && r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
 			out = append(out, scored{r, c.score(b, q, r)})
 		}
 	}
@@ -486,7 +508,8 @@
 	return room / span
 }
 
-func (c *Core) placeArray(b *batch, q *queued, rooms []*room, most int) {
+// placeArray places up to most tasks of an array; home: on its claimant's pages only.
+func (c *Core) placeArray(b *batch, q *queued, rooms []*room, most int, home bool) {
 	d := q.rec.Desc
 	left := d.Pieces - q.done - q.placed
 	if left <= 0 {
@@ -505,7 +528,7 @@
 		open = c.openTasks(b, q, limit)
 		limit = min(limit, len(open))
 	}
-	for _, r := range c.candidates(b, q) {
+	for _, r := range c.candidates(b, q, home) {
 		if limit <= 0 {
 			break
 		}
@@ -522,6 +545,7 @@
 		} else {
 			if ours {
 				open = open[n:]
+				c.planned.abroad = c.planned.abroad || r.rec.Owner != c.run && !r.coming
 			}
 			c.planned.expects[r.id] = true
 		}
@@ -530,6 +554,9 @@
 		left -= n
 		limit -= n
 	}
+	if home {
+		return
+	}
 	if q.aged && q.placed == 0 && limit > 0 {
 		// Its tasks fit into no gap that others leave: some machines are emptied.
 		c.reserve(b, q, rooms, []protocol.Zone{""}, min(limit, 4))
