--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
@@ -181,24 +180,6 @@
 	return coordination.Now{Steady: protocol.Instant(float64(n.w.Now-n.started)*n.drift) + 1, Wall: protocol.Millis(1e12 + n.w.Now.Milliseconds())}
 }
 
-// Freeze lets the controller stand still for a while: what comes in waits, and is
-// read in one go when it goes on.
-func (n *Node) Freeze(d time.Duration) {
-	n.frozen = true
-	life := n.life
-	n.w.At(d, func() {
-		if n.life != life || !n.Alive {
-			return
-		}
-		n.frozen = false
-		in := n.stuck
-		n.stuck = nil
-		for _, i := range in {
-			n.step(i)
-		}
-	})
-}
-
 func (n *Node) step(in coordination.Input) {
 	if n.frozen {
 		if _, tick := in.(coordination.Tick); !tick {
@@ -216,24 +197,6 @@
 	}
 }
 
-// Cost is what the steps of one kind of input took.
-type Cost struct {
-	Count int
-	Time  time.Duration
-}
-
-// Costs are kept by the kind of input.
-type Costs map[string]*Cost
-
-func (c Costs) add(in coordination.Input, d time.Duration) {
-	kind := strings.TrimPrefix(fmt.Sprintf("%T", in), "coordination.")
-	if c[kind] == nil {
-		c[kind] = &Cost{}
-	}
-	c[kind].Count++
-	c[kind].Time += d
-}
-
 // call sends something to an outside system and brings the answer back. Either
 // way may be lost, or the request may be carried out late; the controller then
 // hears nothing until its time is up.
@@ -500,33 +463,6 @@
 	return out
 }
 
-// Lose takes a machine away with all that is on it.
-func (w *World) Lose(id protocol.MachineID) {
-	if m := w.Workers[id]; m != nil && !m.Gone {
-		m.kill()
-		m.Gone = true
-	}
-}
-
-// Recall takes a machine away after a notice.
-func (w *World) Recall(id protocol.MachineID, notice time.Duration) {
-	if m := w.Workers[id]; m != nil && !m.Gone {
-		m.recall = w.Now + notice
-		m.changed = true
-		w.At(notice, func() { w.Lose(id) })
-	}
-}
-
-// apart tells whether a cut zone lies between a controller and a machine.
-func (w *World) apart(n *Node, m *Worker) bool {
-	for z, in := range w.Zone {
-		if (m.Zone == z) != (n == in) {
-			return true
-		}
-	}
-	return false
-}
-
 // toNode brings a worker's report to a controller and the answer back.
 func (w *World) toNode(n *Node, m *Worker, body []byte, back func(int, []byte)) {
 	if w.Copies > 0 && w.Rng.Float64() < w.Copies {
