--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -119,6 +119,9 @@
 	assignedAt map[assignment]protocol.Instant
 	fleetAt    protocol.Instant
 	tickAt     protocol.Instant
+	tickedAt   protocol.Instant // last tick
+	lag        time.Duration    // mean distance of ticks
+	strainAt   protocol.Instant // since when it is too long; 0: it is not
 	forgetAt   protocol.Instant // when what is remembered of machines and jobs that are gone is dropped next
 }
 
@@ -362,6 +365,7 @@
 
 func (c *Core) tick() {
 	now := c.now.Steady
+	c.strain()
 	if !c.loaded && !c.loading && !c.following && now >= c.retryAt {
 		c.loading, c.loadAsk = true, now
 		c.emit(Load{})
@@ -380,7 +384,7 @@
 		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
 		if c.registered() {
 			h.Run = c.run
-			h.Fit = c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute
+			h.Fit = c.strainAt == 0 && (c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute)
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
 					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
@@ -400,6 +404,29 @@
 	c.tickCloud()
 }
 
+// strain notes whether this process falls behind: its ticks, which are due every 50
+// ms, come late for seconds on end. One that computes several times slower than the
+// others gives pages away, before their workers lose patience and their leases.
+func (c *Core) strain() {
+	gap := min(c.since(c.tickedAt), time.Second)
+	if c.tickedAt != 0 {
+		c.lag += (gap - c.lag) / 16
+	}
+	c.tickedAt = c.now.Steady
+	if c.lag < lateTicks {
+		c.strainAt = 0
+	} else if c.strainAt == 0 {
+		c.strainAt = c.now.Steady
+	}
+}
+
+// strained tells whether it has fallen behind for so long that it is no passing peak.
+func (c *Core) strained() bool { return c.strainAt != 0 && c.since(c.strainAt) > 3*time.Second }
+
+// lateTicks is a mean distance of ticks that shows a process short of time: five
+// times what it should be.
+const lateTicks = 250 * time.Millisecond
+
 func (c *Core) onLoad(v LoadResult) {
 	c.loading = false
 	if !c.heard(c.loadAsk, v.Err) {
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -501,3 +502,43 @@
 		}
 	}
 }
+
+// A controller that computes several times slower than the others falls behind, says
+// so, and gives pages away; a pause or a moment's peak is no reason.
+func TestSlowController(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gaps []time.Duration // of its ticks, each so often
+		want bool
+	}{
+		{"in time", []time.Duration{50 * time.Millisecond}, false},
+		{"slow all the while", []time.Duration{400 * time.Millisecond}, true},
+		{"one pause", []time.Duration{4 * time.Second, 50 * time.Millisecond}, false},
+	} {
+		core, step := begin(t)
+		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+			t.Fatal(err)
+		}
+		own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		given := false
+		for i := 0; i < 400; i++ {
+			gap := c.gaps[min(i, len(c.gaps)-1)]
+			step(0, ExtendResult{Hold: 7})
+			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+			step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", StateOK: true, Fit: true}})
+			for _, e := range step(gap, Tick{}) {
+				v, ok := e.(Commit)
+				if !ok {
+					continue
+				}
+				for _, th := range v.Multi.Then {
+					given = given || th.Put == bk.PageKey("p") && strings.Contains(string(th.Data), "stall-1#1")
+				}
+				step(0, CommitResult{ID: v.ID, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: core.mir.Rev + 10}})
+			}
+		}
+		if given != c.want || core.strained() != c.want {
+			t.Errorf("%s: page given %v, strained %v", c.name, given, core.strained())
+		}
+	}
+}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -64,7 +64,12 @@
 // balance gives a page to a controller that has far fewer, one at a time: writing
 // what starts and ends is the owner's work, and each may write only so much.
 func (c *Core) balance(b *batch) {
-	if c.since(c.balancedAt) < c.cfg.BalanceGap {
+	gap, why := c.cfg.BalanceGap, "page handed over, its new owner has fewer"
+	strained := c.strained()
+	if strained {
+		gap, why = gap/3, "page handed over, this controller falls behind"
+	}
+	if c.since(c.balancedAt) < gap {
 		return
 	}
 	pages := map[bk.Run]int{}
@@ -75,14 +80,15 @@
 	var to bk.Run
 	for _, m := range sorted(c.peers) {
 		p := c.peers[m]
-		if c.since(p.at) > 3*time.Second || !p.hint.StateOK || !p.hint.Fit || !c.mir.Alive(p.hint.Run) || 4*pages[p.hint.Run] >= 3*mine || pages[p.hint.Run]+1 >= mine {
+		if c.since(p.at) > 3*time.Second || !p.hint.StateOK || !p.hint.Fit || !c.mir.Alive(p.hint.Run) ||
+			!strained && (4*pages[p.hint.Run] >= 3*mine || pages[p.hint.Run]+1 >= mine) {
 			continue
 		}
 		if to == "" || pages[p.hint.Run] < pages[to] {
 			to = p.hint.Run
 		}
 	}
-	if to == "" || !b.hasRoom(1) {
+	if to == "" || mine == 0 || !b.hasRoom(1) {
 		return
 	}
 	own := c.ownPages()
@@ -91,7 +97,10 @@
 		return
 	}
 	c.balancedAt = c.now.Steady
-	c.givePage(b, id, to, "page handed over, its new owner has fewer")
+	if strained {
+		c.gaveAt = c.now.Steady // and nobody gives it any for a while
+	}
+	c.givePage(b, id, to, why)
 }
 
 // takeOver makes this run the owner of a page, with all machines on it.
