--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -74,6 +74,7 @@
 	balancedAt protocol.Instant // when a page was last given to another controller
 	gaveAt     protocol.Instant // when a machine last left for a controller that its worker reached instead
 	turn       int              // of own pages, the one to go on with
+	partial    bool             // the last transaction could not take the news of all
 
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -1,8 +1,6 @@
 package coordination
 
 import (
-	"cmp"
-	"slices"
 	"sort"
 	"time"
 
@@ -15,10 +13,9 @@
 	id     protocol.JobID
 	rec    *bk.JobRecord
 	order  int
-	turn   int   // the order in which it is served: that of its rank, or a better one
-	aims   []aim // that can still be met, soonest first
+	turn   int // the order in which it is served: that of its rank, or a better one
 	due    protocol.Millis
-	late   bool // no aim can be met any more, or only at the cost of more jobs' aims
+	late   bool
 	zones  map[protocol.Zone]int
 	placed int
 	done   int
@@ -80,7 +77,6 @@
 		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0
 		q.old = waited > 2*c.cfg.AgeAfter && !q.aged && !q.rec.Desc.Gang()
 	}
-	c.shed(out, rooms)
 	sort.Slice(out, func(i, k int) bool {
 		a, z := out[i], out[k]
 		switch {
@@ -100,52 +96,38 @@
 	return out
 }
 
-// aim is a time by which a job is to begin, or to be done.
-type aim struct {
-	due protocol.Millis
-	run protocol.Millis // what its last task takes from its begin until the aim is met
-}
-
-// urgency lists the aims of the job's class, and of its deadline, that can still be
-// met. What has missed all of them goes last within its rank. A job of low rank
-// whose tasks should begin soon is served like the rank above: it stops nobody's
-// work, but gets some of what becomes free.
+// urgency tells by when a job is to be served: the first of its class's aims, and
+// of its deadline, that can still be met. What has missed all of them goes last
+// within its rank. A job of low rank whose tasks should begin soon is served like
+// the rank above: it stops nobody's work, but gets some of what becomes free.
 func (c *Core) urgency(q *queued) {
 	d, sent := q.rec.Desc, q.rec.Sent
-	class := c.cfg.Aims[d.Lane]
-	half := protocol.Seconds(d.ReckonS / 2) // estimates are often wrong by half
-	reach := func(within, lead time.Duration, run float64) {
+	aims := c.cfg.Aims[d.Lane]
+	q.due, q.late = sent+protocol.Millis(600_000), true
+	reach := func(within, lead time.Duration) {
 		due := sent + protocol.Millis(within.Milliseconds())
-		if c.now.Wall+protocol.Millis(lead.Milliseconds()) <= due {
-			q.aims = append(q.aims, aim{due, protocol.Millis(run * 1000)})
+		if c.now.Wall+protocol.Millis(lead.Milliseconds()) <= due && (q.late || due < q.due) {
+			q.due, q.late = due, false
 		}
 	}
-	for _, w := range class.Wait {
-		reach(w, 0, 0)
+	run := protocol.Seconds(d.ReckonS / 2) // estimates are often wrong by half
+	for _, w := range aims.Wait {
+		reach(w, 0)
 		if left := sent + protocol.Millis(w.Milliseconds()) - c.now.Wall; q.turn > 1 && left > 0 && 3*left < protocol.Millis(w.Milliseconds()) {
 			q.turn--
 		}
 	}
-	for _, w := range class.Finished {
-		reach(w, half, d.ReckonS)
+	for _, w := range aims.Finished {
+		reach(w, run)
 	}
 	if d.DueS != nil {
-		reach(protocol.Seconds(*d.DueS), half, d.ReckonS)
-		for _, n := range class.Times {
-			reach(protocol.Seconds(*d.DueS*n), half, d.ReckonS)
+		reach(protocol.Seconds(*d.DueS), run)
+		for _, n := range aims.Times {
+			reach(protocol.Seconds(*d.DueS*n), run)
 		}
 	}
-	slices.SortFunc(q.aims, func(a, z aim) int { return cmp.Compare(a.due, z.due) })
-	aimless := len(class.Wait)+len(class.Finished) == 0 && d.DueS == nil
-	q.setDue(!aimless)
-}
-
-// setDue sets the order among jobs of a turn by the first aim that is left.
-func (q *queued) setDue(has bool) {
-	if len(q.aims) > 0 {
-		q.due, q.late = q.aims[0].due, false
-	} else {
-		q.due, q.late = q.rec.Sent+protocol.Millis(600_000), has
+	if len(aims.Wait)+len(aims.Finished) == 0 && d.DueS == nil {
+		q.late = false
 	}
 }
 
@@ -153,77 +135,3 @@
 func (q *queued) alike(o *queued) bool {
 	return q.turn == o.turn && q.late == o.late && !q.aged && !o.aged
 }
-
-// shed gives up aims of the largest arrays where not all can be met: in the order
-// of their dues alone each of them would come a little too late, one behind the
-// other. It is Moore's rule for the fewest late jobs, over a fleet of cores
-// in place of one machine: whenever a job would be late, the one of those before it
-// that takes most lets its aim go, for its next one.
-func (c *Core) shed(queue []*queued, rooms []*room) {
-	cores := 0.0
-	used := map[int]float64{}    // cores, by the turn of who uses them
-	running := map[int]float64{} // core-seconds that are left of what runs
-	for _, r := range rooms {
-		if !r.closed && !r.coming {
-			cores += r.fl.Cores
-		}
-	}
-	turns := map[int][]*queued{}
-	for _, q := range queue {
-		n := float64(q.placed) * q.rec.Desc.Cores
-		used[q.turn] += n
-		running[q.turn] += n * q.rec.Desc.ReckonS / 2
-		if !q.rec.Desc.Gang() && !q.aged && len(q.aims) > 0 && q.work() > 0 {
-			turns[q.turn] = append(turns[q.turn], q)
-		}
-	}
-	for _, turn := range sorted(turns) {
-		left := cores
-		for t, n := range used {
-			if t < turn {
-				left -= n
-			}
-		}
-		left = max(left, cores/10)
-		// Each round may send jobs on to their next aims; there are few of those.
-		for round := 0; round < 4; round++ {
-			if !c.shedOnce(turns[turn], left, running[turn]) {
-				break
-			}
-		}
-	}
-}
-
-func (c *Core) shedOnce(jobs []*queued, cores, sum float64) (again bool) {
-	list := slices.DeleteFunc(slices.Clone(jobs), func(q *queued) bool { return len(q.aims) == 0 })
-	slices.SortFunc(list, func(a, z *queued) int { return cmp.Or(cmp.Compare(a.due, z.due), cmp.Compare(a.id, z.id)) })
-	var taken []*queued
-	for _, q := range list {
-		taken = append(taken, q)
-		sum += q.work()
-		for len(taken) > 0 && c.now.Wall+protocol.Millis(1000*sum/cores)+q.aims[0].run > q.due {
-			most := 0
-			for i, t := range taken {
-				if t.work() > taken[most].work() {
-					most = i
-				}
-			}
-			t := taken[most]
-			taken = slices.Delete(taken, most, most+1)
-			sum -= t.work()
-			t.aims = t.aims[1:]
-			t.setDue(true)
-			again = again || len(t.aims) > 0
-			if t == q {
-				break
-			}
-		}
-	}
-	return again
-}
-
-// work is what is still to be placed of a job, in core-seconds.
-func (q *queued) work() float64 {
-	d := q.rec.Desc
-	return float64(max(d.Pieces-q.done-q.placed, 0)) * d.Cores * d.ReckonS
-}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -112,16 +112,17 @@
 	}
 }
 
-// placeGroup places jobs that differ in their dues only. What is free on a page goes
-// first to arrays whose claimant owns it, and then to those of others: a controller
-// writes its own pages all the time, one of another's is a change more, which under
-// a tight budget comes late while the room waits for it.
+// placeGroup places jobs that differ in their dues only. Where the news of own pages
+// is more than a transaction takes, what is free on a page goes first to arrays whose
+// claimant owns it, and then to those of others: a controller writes its own pages all
+// the time, one of another's is a change more, which comes late while the room waits
+// for it. Elsewhere the order of dues alone serves better.
 func (c *Core) placeGroup(b *batch, group []*queued, rooms []*room) {
 	for _, q := range group {
 		c.claim(b, q)
 		if q.rec.Desc.Gang() {
 			c.placeGang(b, q, rooms)
-		} else if len(group) > 1 {
+		} else if len(group) > 1 && c.behind() {
 			c.placeArray(b, q, rooms, protocol.MaxPieces, true)
 		}
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -128,11 +128,11 @@
 			}
 		}
 		if !b.hasRoom(1) {
-			c.turn = k
+			c.turn, c.partial = k, true
 			return
 		}
 	}
-	c.turn = 0
+	c.turn, c.partial = 0, false
 }
 
 // handOver moves machines that report to another controller to a page of it. A
