Withdrawal in two steps: told once nobody who could keep a task is unaware of it

Cause: 'withdrawn' was told as soon as it was written, while an owner whose watch stood still could answer its workers for a whole outage. Now the intent is written first; owners acknowledge it (to each other, repeated), or the worker has shown a newer baton, or the machine is released. A run answers no report before its mirror has its own takeover. A machine on which a cancelled task would not go is released without a mark on record while the state service is down for all, and by others if its owner is not heard.

--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -29,6 +29,7 @@
 	Owner    Run
 	Epoch    Epoch
 	Stamp    protocol.Stamp
+	Since    protocol.Stamp // of the change that made Owner its owner, or a later one
 	Size     int
 	Machines []protocol.MachineID // as written
 	Done     map[protocol.JobID]Ranges
@@ -38,14 +39,15 @@
 // What is asked often is kept as an index: nothing here walks the whole fleet
 // for one job or one machine.
 type Mirror struct {
-	Rev      protocol.Rev
-	Jobs     map[protocol.JobID]*Entry[JobRecord]
-	Pages    map[PageID]*Page
-	Machines map[protocol.MachineID]*Machine
-	Members  map[protocol.Member]*Entry[MemberRecord]
-	Teams    map[string]protocol.Stamp
-	Roll     protocol.Stamp                       // of RollKey
-	Open     map[protocol.JobID]*Entry[JobRecord] // the jobs that are neither done nor withdrawn
+	Rev         protocol.Rev
+	Jobs        map[protocol.JobID]*Entry[JobRecord]
+	Pages       map[PageID]*Page
+	Machines    map[protocol.MachineID]*Machine
+	Members     map[protocol.Member]*Entry[MemberRecord]
+	Teams       map[string]protocol.Stamp
+	Roll        protocol.Stamp                       // of RollKey
+	Open        map[protocol.JobID]*Entry[JobRecord] // the jobs that are neither done nor withdrawn
+	Withdrawing map[protocol.JobID]*Entry[JobRecord] // those of them that are called off
 
 	// Changed is called for each machine whose record has changed; before or
 	// after may be nil. May be nil itself.
@@ -63,16 +65,17 @@
 // NewMirror makes an empty mirror.
 func NewMirror() *Mirror {
 	return &Mirror{
-		Jobs:     map[protocol.JobID]*Entry[JobRecord]{},
-		Open:     map[protocol.JobID]*Entry[JobRecord]{},
-		Pages:    map[PageID]*Page{},
-		Machines: map[protocol.MachineID]*Machine{},
-		Members:  map[protocol.Member]*Entry[MemberRecord]{},
-		Teams:    map[string]protocol.Stamp{},
-		on:       map[protocol.JobID]map[protocol.MachineID]bool{},
-		gone:     map[string]protocol.Stamp{},
-		doneOn:   map[protocol.JobID]map[PageID]bool{},
-		done:     map[protocol.JobID]Ranges{},
+		Jobs:        map[protocol.JobID]*Entry[JobRecord]{},
+		Open:        map[protocol.JobID]*Entry[JobRecord]{},
+		Withdrawing: map[protocol.JobID]*Entry[JobRecord]{},
+		Pages:       map[PageID]*Page{},
+		Machines:    map[protocol.MachineID]*Machine{},
+		Members:     map[protocol.Member]*Entry[MemberRecord]{},
+		Teams:       map[string]protocol.Stamp{},
+		on:          map[protocol.JobID]map[protocol.MachineID]bool{},
+		gone:        map[string]protocol.Stamp{},
+		doneOn:      map[protocol.JobID]map[PageID]bool{},
+		done:        map[protocol.JobID]Ranges{},
 	}
 }
 
@@ -123,10 +126,12 @@
 		id := protocol.JobID(key[len(jobPrefix):])
 		delete(m.done, id)
 		if err = put(m.Jobs, id, data, stamp); err == nil {
-			if e := m.Jobs[id]; e.Rec.Stage.Final() || e.Rec.Desc == nil {
+			e := m.Jobs[id]
+			delete(m.Withdrawing, id)
+			if e.Rec.Stage.Final() || e.Rec.Desc == nil {
 				delete(m.Open, id)
-			} else {
-				m.Open[id] = e
+			} else if m.Open[id] = e; e.Rec.Withdrawing {
+				m.Withdrawing[id] = e
 			}
 		}
 	case strings.HasPrefix(key, pagePrefix):
@@ -163,6 +168,9 @@
 		p.Machines = append(p.Machines, protocol.MachineID(mid))
 	}
 	old := m.Pages[id]
+	if p.Since = stamp; old != nil && old.Owner == p.Owner && old.Epoch == p.Epoch {
+		p.Since = old.Since
+	}
 	m.Pages[id] = p
 	p.Done = f.Done
 	m.setDone(id, old, p)
@@ -292,6 +300,7 @@
 	} else if strings.HasPrefix(key, jobPrefix) {
 		delete(m.Jobs, protocol.JobID(key[len(jobPrefix):]))
 		delete(m.Open, protocol.JobID(key[len(jobPrefix):]))
+		delete(m.Withdrawing, protocol.JobID(key[len(jobPrefix):]))
 	}
 }
 
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -60,11 +60,18 @@
 	Done  Ranges           `json:"v,omitzero"`
 	Halt  protocol.Attempt `json:"h,omitempty"` // this attempt of a gang stops in order
 	// Machines on which room is made for a gang: their owners stop what ranks lower.
-	Room  []protocol.MachineID `json:"m,omitempty"`
-	Sent  protocol.Millis      `json:"t,omitempty"` // when it was submitted
-	Count int                  `json:"k,omitempty"` // of a done job: its tasks
+	Room []protocol.MachineID `json:"m,omitempty"`
+	Sent protocol.Millis      `json:"t,omitempty"` // when it was submitted
+	// Its user has called it off, and not everybody who may keep a task of it knows:
+	// nothing of it may begin, and it is not called withdrawn yet. Never taken back.
+	Withdrawing bool            `json:"w,omitempty"`
+	OffAt       protocol.Millis `json:"o,omitempty"` // when that was written, or that it is withdrawn
+	Count       int             `json:"k,omitempty"` // of a done job: its tasks
 }
 
+// CalledOff tells whether the job is withdrawn, or about to be.
+func (r *JobRecord) CalledOff() bool { return r.Withdrawing || r.Stage == protocol.Withdrawn }
+
 // Assigned are tasks of one job with one attempt on a machine.
 type Assigned struct {
 	Job    protocol.JobID
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -165,6 +165,9 @@
 // holdBeat tells whether the answer should wait a moment for a write, so that
 // it can carry the starts that take the place of what has ended.
 func (c *Core) holdBeat(e *bk.Machine, m *mstate) bool {
+	if c.mir.Rev < m.ownedRev {
+		return c.since(m.heldAt) < 3*time.Second
+	}
 	if c.stateDown() || !c.registered() {
 		return false
 	}
@@ -283,7 +286,7 @@
 				c.own(e, id)
 				if m.rep.Baton > e.Rec.Baton || m.rep.Shift < e.Rec.Shift {
 					c.dropHeld(m)
-				} else {
+				} else if c.mir.Rev >= m.ownedRev {
 					c.answerBeat(e, m)
 				}
 			case e != nil && c.mir.Alive(e.Rec.Owner):
@@ -305,6 +308,12 @@
 
 // answerBeat answers the report that is held: 200 with the orders.
 func (c *Core) answerBeat(e *bk.Machine, m *mstate) {
+	if c.mir.Rev < m.ownedRev {
+		// The mirror may lack what was written before this run became the owner: a job
+		// may have been withdrawn that nobody told this run of.
+		c.dropHeld(m)
+		return
+	}
 	orders := c.orders(e, m, true)
 	for _, o := range orders {
 		if o.Verb == protocol.Start {
@@ -342,8 +351,7 @@
 				grace = s.grace
 			}
 		}
-		j := c.mir.Jobs[p.Task.Job]
-		if !assigned && fresh || j != nil && j.Rec.Stage == protocol.Withdrawn {
+		if !assigned && fresh || c.calledOff(p.Task.Job) {
 			grace = 0
 		}
 		if grace >= 0 {
@@ -357,7 +365,7 @@
 	for i := range rec.Assigned {
 		a := &rec.Assigned[i]
 		j := c.mir.Jobs[a.Job]
-		if j == nil || j.Rec.Stage.Final() || j.Rec.Halt >= a.Try && j.Rec.Halt > 0 {
+		if j == nil || j.Rec.Stage.Final() || c.calledOff(a.Job) || j.Rec.Halt >= a.Try && j.Rec.Halt > 0 {
 			continue
 		}
 		if j.Rec.Desc.Gang() && !c.gangWhole(a.Job, &j.Rec, a.Try) {
@@ -423,6 +431,10 @@
 		return
 	}
 	if e == nil || !c.mine(&e.Rec) {
+		// Asked as a last resort: what its worker shows is no less true.
+		if e != nil && ok && (m.rep == nil || !older(v.Report, m.rep.Shift, m.rep.Tally)) {
+			m.take(v.Report, c.now.Steady)
+		}
 		return
 	}
 	if !ok {
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -28,9 +28,10 @@
 
 // release is a machine on its way back to the cloud.
 type release struct {
-	tryAt protocol.Instant
-	out   bool
-	done  bool // answered 200: the machine and all on it are gone
+	tryAt    protocol.Instant
+	out      bool
+	done     bool // answered 200: the machine and all on it are gone
+	unmarked bool // nothing on record says so
 }
 
 // listing is what the cloud's list says of a machine.
@@ -82,7 +83,7 @@
 	c.rent()
 	var names []protocol.MachineID
 	for id, r := range c.releasing {
-		if e := c.mir.Machines[id]; e == nil || !c.mine(&e.Rec) || !e.Rec.Releasing {
+		if e := c.mir.Machines[id]; e == nil || !r.unmarked && (!c.mine(&e.Rec) || !e.Rec.Releasing) {
 			delete(c.releasing, id)
 			continue
 		}
@@ -185,17 +186,12 @@
 	if m.faulty && len(rec.Assigned) == 0 {
 		return "faulty"
 	}
-	for _, a := range rec.Assigned {
-		// A withdrawn task that will not go takes its machine with it.
-		if j := c.mir.Jobs[a.Job]; j != nil && j.Rec.Stage == protocol.Withdrawn {
-			js := c.jstate(a.Job)
-			if js.withdrawn == 0 {
-				js.withdrawn = c.now.Steady
-			}
-			if c.since(js.withdrawn) > c.cfg.Cancel*2/5 && (c.silent(m) || c.since(js.withdrawn) > c.cfg.Cancel*3/5) {
-				return "withdrawn task would not go"
-			}
+	// A withdrawn task that will not go takes its machine with it.
+	if c.wouldNotGo(m, rec, cutOff) {
+		if c.outForAll() {
+			c.returnUnmarked(m.id)
 		}
+		return "withdrawn task would not go"
 	}
 	if len(rec.Assigned) > 0 || c.planned.busy[m.id] || m.rep != nil && c.liveTasks(m) {
 		m.idleSince = 0
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -78,8 +78,13 @@
 
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
-	aborts   map[protocol.JobID]protocol.Instant // since when they are being withdrawn
-	halts    map[protocol.JobID]protocol.Attempt // attempts of gangs that are to stop in order
+	aborts   map[protocol.JobID]protocol.Instant        // since when they are being withdrawn
+	told     map[protocol.JobID]told                    // intents to withdraw that the mirror does not have yet
+	acks     map[protocol.JobID]map[bk.Run]protocol.Rev // runs that answer for one, and their mirrors' revisions
+	acked    map[protocol.JobID]bool                    // intents that this run answers for
+	aware    map[protocol.JobID]bool                    // intents of which nobody who matters is unaware
+	intentAt map[protocol.JobID]protocol.Instant        // intents in the last message to the others
+	halts    map[protocol.JobID]protocol.Attempt        // attempts of gangs that are to stop in order
 	waiters  []*waiter
 	revOut   bool // a revision is being read
 	revAsk   protocol.Instant
@@ -115,6 +120,7 @@
 	peers      map[protocol.Member]peer
 	strayed    map[protocol.MachineID]stray // reported here though another run owns them
 	hintAt     protocol.Instant
+	hintSoon   bool                        // there is something that the others should hear at once
 	deadAt     map[bk.Run]protocol.Instant // since when a run is known to be dead
 	planned    plan
 	assignedAt map[assignment]protocol.Instant
@@ -162,6 +168,7 @@
 		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
+		told: map[protocol.JobID]told{}, acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{},
 		handing: map[protocol.MachineID]bool{}, holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
 	c.mir.Changed = c.onChanged
@@ -292,6 +299,7 @@
 // this node is broken, and waiting would only let its lease run out.
 func (c *Core) onHint(h Hint) {
 	c.peers[h.Member] = peer{h, c.now.Steady}
+	c.onWithdrawals(&h)
 	for _, s := range h.Seen[:min(len(h.Seen), 200)] {
 		if e := c.mir.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
 			m := c.own(e, s.Machine)
@@ -380,11 +388,14 @@
 		c.extendAt = now.Add(c.jitter(c.cfg.HoldTTL / 4))
 		c.emit(Extend{c.hold})
 	}
-	if now >= c.hintAt {
+	c.tickWithdrawals()
+	if now >= c.hintAt || c.hintSoon {
+		c.hintSoon = false
 		c.hintAt = now.Add(c.jitter(time.Second))
 		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
 		if c.registered() {
 			h.Run = c.run
+			c.withdrawalHint(&h)
 			h.Fit = c.strainAt == 0 && (c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute)
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
@@ -402,6 +413,7 @@
 	c.tickAt = now.Add(200 * time.Millisecond)
 	c.tickRuns()
 	c.tickMachines()
+	c.lastResort()
 	c.tickCloud()
 }
 
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -114,6 +114,11 @@
 	// Machines of other owners whose workers report to the sender: their owners
 	// may be cut off from them.
 	Seen []Seen
+	// How far the sender's mirror is, withdrawals that some may not know of, and those
+	// that the sender answers for.
+	Rev     protocol.Rev
+	Intents []Intent
+	Acks    []protocol.JobID
 }
 
 // Seen is a report of another owner's machine, with its place among all of them.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -61,6 +61,7 @@
 	handAt    protocol.Instant
 	ownedRun  bk.Run
 	ownedIn   bk.Epoch
+	ownedRev  protocol.Rev // the mirror must be as new before a report is answered: it lacks what came before else
 }
 
 type image struct {
@@ -83,7 +84,6 @@
 	runTime    time.Duration
 	notBefore  protocol.Instant
 	brokenAt   protocol.Instant
-	withdrawn  protocol.Instant
 	seenTry    protocol.Attempt
 	completeAt protocol.Instant // since when all its tasks are done, and it is not called done
 	building   protocol.Attempt // of a gang whose assignment takes several transactions
@@ -172,6 +172,7 @@
 	m := c.mstate(id)
 	if m.ownedRun != e.Rec.Owner || m.ownedIn != e.Rec.Epoch {
 		m.ownedRun, m.ownedIn = e.Rec.Owner, e.Rec.Epoch
+		m.ownedRev = protocol.Rev(c.mir.Pages[e.Rec.Page].Stamp)
 		m.clear()
 		m.answered, m.baton = 0, 0
 		m.heardAt = c.now.Steady
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -55,7 +55,7 @@
 	var out []*queued
 	for id := range c.mir.Open {
 		r := b.viewJob(id)
-		if r.Stage.Final() || r.Desc == nil {
+		if r.Stage.Final() || r.Withdrawing || r.Desc == nil {
 			continue
 		}
 		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: b.viewDone(id).Len()}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -245,8 +245,8 @@
 	rec := &e.Rec
 	rep := m.rep
 
-	if rec.Releasing {
-		if rel := c.releasing[id]; rel != nil && rel.done && b.hasRoom(b.needs(id)) {
+	if rec.Releasing || c.returned(id) {
+		if c.returned(id) && b.hasRoom(b.needs(id)) {
 			b.drop(id)
 			b.log(slog.LevelInfo, "machine is gone", "machine", string(id), "tasks", len(rec.Assigned))
 		}
@@ -315,7 +315,7 @@
 		if _, ok := m.inflight[t]; ok {
 			return true
 		}
-		gone := j == nil || j.Stage.Final() || j.Halt >= try && j.Halt > 0 || c.mstopped(m, t, try)
+		gone := j == nil || j.Stage.Final() || c.calledOff(t.Job) || j.Halt >= try && j.Halt > 0 || c.mstopped(m, t, try)
 		if j != nil && !j.Stage.Final() && j.Desc.Gang() && c.gangBroken(t.Job, try) {
 			gone = true
 		}
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		r := &room{id: id, m: c.machines[id], rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
-		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner]
+		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner] || c.releasing[id] != nil
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
 			j := b.viewJob(a.Job)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -210,17 +210,7 @@
 
 // writeUsers puts new and withdrawn jobs into the transaction.
 func (c *Core) writeUsers(b *batch) {
-	for _, id := range sorted(c.aborts) {
-		e := c.mir.Jobs[id]
-		if e == nil || e.Rec.Stage.Final() {
-			delete(c.aborts, id)
-			continue
-		}
-		if b.hasRoom(1) {
-			r := b.job(id)
-			r.Stage = protocol.Withdrawn
-		}
-	}
+	c.writeWithdrawals(b)
 	for _, id := range sorted(c.submits) {
 		s := c.submits[id]
 		if c.mir.Jobs[id] != nil || !b.hasRoom(1) {
@@ -311,7 +301,7 @@
 	for id, at := range c.aborts {
 		// The user is told to come back; withdrawing goes on all the same
 		// for a while, as it was asked for.
-		if c.since(at) > 30*time.Second {
+		if c.mir.Withdrawing[id] == nil && c.since(at) > 30*time.Second {
 			delete(c.aborts, id)
 		}
 	}
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		d := je.Rec.Desc
-		if je.Rec.Stage == protocol.Withdrawn {
+		if c.calledOff(p.Task.Job) {
 			c.stop(m, p.Task, p.Try, 0, "withdrawn")
 			urgent = true
 			continue
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +29,112 @@
 	})
 }
 
+// state sends something to the state service, which may be cut off, refuse this
+// controller alone, be slow, or carry a transaction out late.
+func (n *Node) state(wait time.Duration, do func() coordination.Input, lost, refused coordination.Input) {
+	w := n.w
+	if n.Refused {
+		n.call(false, wait, func() coordination.Input { return refused }, lost)
+		return
+	}
+	if _, commits := lost.(coordination.CommitResult); commits && w.Rng.Float64() < w.Late {
+		life := n.life
+		w.At(time.Duration(2000+w.Rng.IntN(10000))*time.Millisecond, func() { do() })
+		w.At(wait, func() {
+			if n.Alive && n.life == life {
+				n.step(lost)
+			}
+		})
+		return
+	}
+	if w.Slow > 0 {
+		life, d := n.life, time.Duration(w.Rng.Int64N(int64(w.Slow)))
+		w.At(d, func() {
+			if n.Alive && n.life == life {
+				n.call(n.NoState, wait-d, do, lost)
+			}
+		})
+		return
+	}
+	n.call(n.NoState, wait, do, lost)
+}
+
+// ended calls a job off at the moment of its end, now and then.
+func (w *World) ended(id protocol.JobID) {
+	j := w.Rules.job(id)
+	if j.desc == nil || len(j.done) < j.desc.Pieces || j.wanted || w.Rng.Float64() >= w.AtEnd {
+		return
+	}
+	w.Abort(id)
+}
+
+// Unfit sends a job that can't run or lacks a field, until that is said.
+func (w *World) Unfit(id protocol.JobID, body []byte) {
+	w.Rules.job(id).unfit = true
+	w.User(protocol.Submit, id, body, func(status int, _ protocol.Stage) {
+		if status != 400 && status != 422 {
+			w.At(time.Second, func() { w.Unfit(id, body) })
+		}
+	})
+}
+
+// watchRoom tells the rules which jobs wait although machines that are up have room.
+func (w *World) watchRoom() {
+	type left struct {
+		m          *Worker
+		cores, mem float64
+	}
+	var free []left
+	used := map[string]float64{}
+	here := map[protocol.Task]bool{}
+	for _, id := range slices.Sorted(maps.Keys(w.Workers)) {
+		m := w.Workers[id]
+		if m.Gone || m.tally == 0 {
+			continue
+		}
+		f := left{m: m}
+		for i := range w.Flavors {
+			if w.Flavors[i].Sku == m.Build {
+				f.cores, f.mem = w.Flavors[i].Cores, w.Flavors[i].MemGB
+			}
+		}
+		for t, k := range m.tasks {
+			if k.stage != protocol.Ended {
+				d := w.Jobs[t.Job]
+				f.cores, f.mem = f.cores-d.Cores, f.mem-d.MemGB
+				used[d.Desk] += d.Cores
+				here[t] = true
+			}
+		}
+		if m.recall == 0 && !m.Faulty {
+			free = append(free, f)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.Jobs)) {
+		d, j := w.Jobs[id], w.Rules.job(id)
+		waits := 0
+		for p := range min(d.Pieces, 500) {
+			if !j.done[p] && !here[protocol.Task{Job: id, Piece: p}] {
+				waits++
+			}
+		}
+		need := 1
+		if d.Gang() {
+			need = waits
+		}
+		limit := w.Rules.Limits[d.Desk]
+		room, fits := limit == 0 || used[d.Desk]+float64(need)*d.Cores <= limit+1e-9, 0
+		for _, f := range free {
+			// Spot machines depend on more than room.
+			if d.Allowed(f.m.Build, f.m.Zone) && !f.m.Loaner && f.cores+1e-9 >= d.Cores && f.mem+1e-9 >= d.MemGB {
+				fits += int(min((f.cores+1e-9)/d.Cores, (f.mem+1e-9)/d.MemGB))
+			}
+		}
+		// What several tasks ask of zones together is not looked into here.
+		w.Rules.Room(w.Now, id, waits > 0 && room && fits >= need && (need == 1 || !d.Together && !d.Scatter) && (!d.Scatter || d.Pieces == 1))
+	}
+}
+
 // Cost is what the steps of one kind of input took.
 type Cost struct {
 	Count int
@@ -59,6 +167,7 @@
 func (w *World) Lose(id protocol.MachineID) {
 	if m := w.Workers[id]; m != nil && !m.Gone {
 		m.kill()
+		m.lay()
 		m.Gone = true
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -26,6 +26,7 @@
 	Gone    bool
 	Faulty  bool // every task fails here
 	Cut     bool // reaches no controller
+	Mute    bool // reaches no controller, while direct commands reach it
 	Deaf    bool // its reports arrive, answers and commands do not reach it
 	hung    bool // it stands still, and may go on
 	late    []func()
@@ -78,6 +79,9 @@
 	}
 	if on && !now {
 		m.w.Rules.Left(t, k.cause == protocol.CauseDone)
+		if k.cause == protocol.CauseDone {
+			m.w.ended(t.Job)
+		}
 		if d := m.w.Jobs[t.Job]; d.Gang() && k.cause == protocol.CauseDone {
 			for p := range d.Pieces { // if one task of a gang is done, all are
 				m.w.Rules.job(t.Job).done[p] = true
@@ -110,12 +114,33 @@
 	m.waiting, m.changed = false, true
 }
 
+// haunt notes which tasks are killed while the machine hangs. Whether they count as gone
+// before it goes on is not for the worker to say: for moving them they do, for a
+// cancellation they do not.
+func (m *Worker) haunt() {
+	for t, k := range m.tasks {
+		if k.stage != protocol.Fetching && k.stage != protocol.Ended {
+			m.w.Rules.hung[t] = place{m.ID, m.Zone}
+		}
+	}
+}
+
+// lay ends what haunt noted: the machine goes on, or is gone.
+func (m *Worker) lay() {
+	for t, p := range m.w.Rules.hung {
+		if p.machine == m.ID {
+			delete(m.w.Rules.hung, t)
+		}
+	}
+}
+
 // Hang lets the machine stand still for a while: nothing on it goes on, what is
 // sent to it waits. Its lease runs out all the same.
 func (m *Worker) Hang(d time.Duration) {
 	m.hung = true
 	m.w.At(d, func() {
 		m.hung = false
+		m.lay()
 		late := m.late
 		m.late = nil
 		for _, f := range late {
@@ -131,6 +156,9 @@
 		return
 	}
 	if now-m.leased > m.w.Lease {
+		if m.hung {
+			m.haunt()
+		}
 		m.kill()
 		m.shift++
 		m.leased = now
@@ -274,7 +302,7 @@
 			case used+d.Cores > w.Cores(m.Build)+1e-9:
 				nk.stage, nk.cause = protocol.Ended, protocol.CauseNoRoom
 			case !m.images[d.Bundle]:
-				nk.next = w.Now + time.Second
+				nk.next = w.Now + w.Fetch
 			default:
 				nk.next = w.Now
 			}
