--- /dev/null
+++ b/internal/standin/meetings_test.go
@@ -0,0 +1,359 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"tillerarch/internal/protocol"
+)
+
+// running lists jobs of which a task is on a machine, in order.
+func (w *World) running() []protocol.JobID {
+	on := map[protocol.JobID]bool{}
+	for _, m := range w.Workers {
+		for t, k := range m.tasks {
+			if !m.Gone && k.stage != protocol.Ended {
+				on[t.Job] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(on))
+}
+
+// cancelRunning lets users call off up to n jobs that run.
+func (w *World) cancelRunning(n int) {
+	for _, id := range w.running() {
+		if j := w.Rules.job(id); n > 0 && j.accepted && !j.wanted {
+			n--
+			w.At(time.Duration(w.Rng.IntN(200))*time.Millisecond, func() { w.Abort(id) })
+		}
+	}
+}
+
+// some gives about the given part of the machines, in order.
+func (w *World) some(part float64) (out []*Worker) {
+	for _, id := range slices.Sorted(maps.Keys(w.Workers)) {
+		if m := w.Workers[id]; !m.Gone && w.Rng.Float64() < part {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (w *World) restart(n *Node, at, for_ time.Duration) {
+	w.At(at, n.Kill)
+	w.At(at+for_, n.Start)
+}
+
+// long sends jobs of few tasks that end far apart.
+func (w *World) long(n int, desk string, reckon float64) {
+	for i := range n {
+		d := array(protocol.JobID(fmt.Sprintf("j-8%03d", i)), "long", "standard", 2+i%2, 2, reckon)
+		d.Desk = desk
+		w.At(time.Duration(3000+i*500)*time.Millisecond, func() { w.Submit(d) })
+	}
+}
+
+// Two troubles at once, each of the meetings that the users have listed. Every rule
+// holds, and behind the troubles every job comes to its end.
+func TestMeetings(t *testing.T) {
+	s := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	outage := func(w *World, from, for_ float64) {
+		w.At(s(from), func() { w.State.Down = true })
+		w.At(s(from+for_), func() { w.State.Down = false })
+	}
+	refuse := func(w *World, from, for_ float64) {
+		w.At(s(from), func() {
+			n := w.leader()
+			n.Refused = true
+			w.At(s(for_), func() { n.Refused = false })
+		})
+	}
+	for _, c := range []struct {
+		name    string
+		trouble func(w *World) // over by the 110th second
+	}{
+		{"1 jobs are called off as the leader is refused, and a second later all are", func(w *World) {
+			w.long(8, "core", 60)
+			for _, at := range []float64{25, 68} {
+				refuse(w, at, 14)
+				w.At(s(at+0.2), func() { w.cancelRunning(5) })
+				outage(w, at+1, 34)
+			}
+		}},
+		{"2 a cancellation, a question or a repeated submission meets the end of the last task", func(w *World) {
+			w.AtEnd = 0.5
+			w.At(s(100), func() { w.AtEnd = 0 })
+			w.Ended = func(id protocol.JobID) {
+				for _, n := range w.Nodes {
+					w.Ask(n, protocol.Query, id, nil, func(int, protocol.Stage) {})
+					w.Ask(n, protocol.Submit, id, protocol.Encode(w.Jobs[id]), func(int, protocol.Stage) {})
+				}
+			}
+		}},
+		{"3 workers reach no controller, while direct commands reach them", func(w *World) {
+			w.long(4, "core", 60)
+			for i := range 4 {
+				w.At(s(20+18*float64(i)), func() {
+					for _, m := range w.some(0.6) {
+						m.Mute = true
+						w.At(s(2+8*float64(i)), func() { m.Mute = false })
+					}
+					w.cancelRunning(2)
+				})
+			}
+		}},
+		{"4 old reports arrive after newer ones, of earlier sessions and attempts too", func(w *World) {
+			w.Copies = 0.6
+			for i := range 12 {
+				w.At(s(16+6*float64(i)), func() {
+					for _, m := range w.some(0.15) {
+						m.Reboot()
+					}
+				})
+			}
+			w.restart(w.Nodes[1], s(50), s(0.3))
+		}},
+		{"5 jobs bound to one zone, arrays too, lose machines", func(w *World) {
+			for i := range 8 {
+				d := array(protocol.JobID(fmt.Sprintf("j-7%03d", i)), "bound", "standard", 6, 2, 20)
+				d.Together = true
+				if i%2 == 0 {
+					d.Shape = protocol.Group
+				}
+				if i%3 == 0 {
+					d.Yard = "a"
+				}
+				w.At(s(4+5*float64(i)), func() { w.Submit(d) })
+			}
+			for i := range 14 {
+				w.At(s(15+5*float64(i)), func() {
+					for _, m := range w.some(0.1) {
+						if i%3 == 0 {
+							m.Cut = true
+							w.At(s(20), func() { m.Cut = false })
+						} else {
+							w.Lose(m.ID)
+						}
+					}
+				})
+			}
+			w.restart(w.Nodes[0], s(40), s(2))
+		}},
+		{"6 leaders change ten times in two minutes, also inside an outage", func(w *World) {
+			w.long(6, "core", 40)
+			for i := range 10 {
+				w.At(s(14+9*float64(i)), func() {
+					if n := w.leader(); n.Alive {
+						n.Kill()
+						w.At(s([]float64{0.2, 4}[i%2]), n.Start)
+					}
+				})
+			}
+			outage(w, 40, 16)
+			w.At(s(45), func() { w.cancelRunning(3) })
+		}},
+		{"7 commands or their answers are held up for seconds, and the machines go on", func(w *World) {
+			w.Drop = 0.08
+			w.long(6, "core", 40)
+			for i := range 16 {
+				w.At(s(14+5*float64(i)), func() {
+					for _, m := range w.some(0.2) {
+						m.Hang(s(1 + float64(w.Rng.IntN(13))))
+					}
+					w.cancelRunning(1)
+				})
+			}
+			w.restart(w.Nodes[2], s(60), s(1))
+		}},
+		{"8 transactions without an answer are carried out late, after newer ones", func(w *World) {
+			w.Late = 0.25
+			w.At(s(105), func() { w.Late = 0 })
+			for i := range 5 {
+				w.restart(w.Nodes[i%3], s(20+15*float64(i)), s([]float64{0.3, 4}[i%2]))
+				w.At(s(24+15*float64(i)), func() { w.cancelRunning(2) })
+			}
+		}},
+		{"9 reports are held back until a new leader has acted, and arrive there", func(w *World) {
+			w.long(6, "core", 50)
+			for i := range 6 {
+				w.At(s(18+14*float64(i)), func() {
+					n := w.leader()
+					for _, m := range w.some(1) {
+						body := m.body()
+						for _, o := range w.others(n) {
+							w.At(s(2+float64(w.Rng.IntN(12))), func() {
+								if o.Alive {
+									o.Beat(body, func(int, []byte) {})
+								}
+							})
+						}
+					}
+					n.Kill()
+					w.At(s(5), n.Start)
+					w.cancelRunning(1)
+				})
+			}
+		}},
+		{"10 the state service is slow, or refuses the leader and then everybody, while users cancel and ask", func(w *World) {
+			w.long(8, "core", 60)
+			w.Slow = s(1.2)
+			w.At(s(40), func() { w.Slow = 0 })
+			for _, at := range []float64{22, 30, 45.5, 60, 80} {
+				w.At(s(at), func() { w.cancelRunning(2) })
+			}
+			refuse(w, 45, 12)
+			outage(w, 48, 45)
+		}},
+		{"11 controllers hand over and back, all end, and one returns", func(w *World) {
+			w.long(6, "core", 40)
+			for i, gap := range []float64{0.3, 0.9, 6} {
+				for k, n := range w.Nodes {
+					w.At(s(20+30*float64(i)), n.Kill)
+					back := gap
+					if k != i {
+						back = gap + 12
+					}
+					w.At(s(20+30*float64(i)+back), n.Start)
+				}
+				w.At(s(20+30*float64(i)+gap+2), func() { w.cancelRunning(2) })
+			}
+		}},
+		{"12 jobs of two or three tasks end far apart across a change of leader", func(w *World) {
+			w.long(16, "core", 30)
+			for i := range 9 {
+				w.At(s(12+10*float64(i)), func() {
+					if n := w.leader(); n.Alive {
+						n.Kill()
+						w.At(s([]float64{0.3, 8}[i%2]), n.Start)
+					}
+				})
+			}
+		}},
+		{"13 more work than room, urgent and not, over slow links", func(w *World) {
+			w.Lag, w.NoHire = s(0.15), true
+			w.At(s(105), func() { w.Lag, w.NoHire = 0, false })
+			for i := range 40 {
+				d := array(protocol.JobID(fmt.Sprintf("j-6%03d", i)), "more", []protocol.Rank{"high", "low", "standard"}[i%3], 8, 2, 5)
+				w.At(s(5+2*float64(i)), func() { w.Submit(d) })
+			}
+			for i := range 5 {
+				w.At(s(20+16*float64(i)), func() { w.cancelRunning(2) })
+			}
+		}},
+		{"14 a team is at its limit as the leader changes, some machines can't be asked, and jobs are called off", func(w *World) {
+			w.long(14, "tight", 25)
+			for i := range 5 {
+				w.At(s(16+16*float64(i)), func() {
+					for _, m := range w.some(0.35) {
+						m.Cut = true
+						w.At(s(4+4*float64(i)), func() { m.Cut = false })
+					}
+					n := w.leader()
+					n.Kill()
+					w.At(s([]float64{0.3, 7}[i%2]), n.Start)
+					w.At(s(1), func() { w.cancelRunning(3) })
+				})
+			}
+		}},
+		{"15 all controllers are away for longer than lease_s", func(w *World) {
+			w.long(6, "core", 40)
+			for _, at := range []float64{20, 70} {
+				w.At(s(at-0.2), func() { w.cancelRunning(3) })
+				for i, n := range w.Nodes {
+					w.restart(n, s(at), s(18+float64(i)))
+				}
+			}
+		}},
+		{"16 a leader ends while machines with long tasks can't be reached or don't hear the new one", func(w *World) {
+			w.long(10, "core", 60)
+			for i := range 5 {
+				w.At(s(16+17*float64(i)), func() {
+					for k, m := range w.some(0.6) {
+						if k%2 == 0 {
+							m.Cut = true
+							w.At(s(3+4*float64(i)), func() { m.Cut = false })
+						} else {
+							m.Deaf = true
+							w.At(s(3+4*float64(i)), func() { m.Deaf = false })
+						}
+					}
+					n := w.leader()
+					n.Kill()
+					w.At(s([]float64{6, 0.4}[i%2]), n.Start)
+					w.cancelRunning(1)
+				})
+			}
+		}},
+		{"17 a leader loses state service and other controllers, and jobs are called off through the new one", func(w *World) {
+			w.long(10, "core", 60)
+			for i := range 2 {
+				w.At(s(20+45*float64(i)), func() {
+					n := w.leader()
+					n.NoState, n.NoPeers = true, true
+					w.At(s(36), func() { n.NoState, n.NoPeers = false, false })
+					for _, at := range []float64{0.5, 4, 9, 14} {
+						w.At(s(at), func() { w.cancelRunning(2) })
+					}
+				})
+			}
+		}},
+		{"18 a zone with workers and a controller is cut off for longer than lease_s", func(w *World) {
+			w.long(10, "core", 50)
+			for i := range 2 {
+				n := w.Nodes[2-i]
+				z := []protocol.Zone{"a", "b"}[i]
+				w.At(s(20+45*float64(i)), func() {
+					n.NoState, n.NoPeers, n.NoUsers = true, true, true
+					w.Zone[z] = n
+					w.At(s(3), func() { w.cancelRunning(3) })
+					w.At(s(20), func() { w.cancelRunning(2) })
+				})
+				w.At(s(58+45*float64(i)), func() {
+					n.NoState, n.NoPeers, n.NoUsers = false, false, false
+					delete(w.Zone, z)
+				})
+			}
+			w.restart(w.Nodes[0], s(30), s(0.4))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= seeds(); seed++ {
+				w := NewWorld(seed, 3, testFlavors, testTeams())
+				w.Rules.Limits["tight"] = 10
+				if os.Getenv("TRACE") != "" {
+					w.Trace = func(l string) { t.Log(l) }
+				}
+				for i := 0; i < 8; i++ {
+					w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
+				}
+				submitMix(w, 24)
+				w.odd(s(10), s(105))
+				c.trouble(w)
+				w.Run(s(110))
+				w.Drop, w.Copies, w.AtEnd = 0, 0, 0
+				w.Rules.Calm = w.Now
+				w.Run(s(170))
+				w.Rules.End(w.Now)
+				if w.State.Over > 0 {
+					t.Errorf("seed %d: %d transactions too large", seed, w.State.Over)
+				}
+				if len(w.Rules.Broken) > 0 {
+					t.Errorf("seed %d: %d rules broken:\n%s", seed, len(w.Rules.Broken), strings.Join(w.Rules.Broken[:min(5, len(w.Rules.Broken))], "\n"))
+				}
+				for _, id := range slices.Sorted(maps.Keys(w.Jobs)) {
+					if !w.Done[id] {
+						t.Errorf("seed %d: %s has not come to its end", seed, id)
+						break
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -76,6 +76,8 @@
 	Late     float64                 // part of the transactions that get no answer and are carried out 2 to 12 s later
 	Slow     time.Duration           // by which the state service answers later
 	Fetch    time.Duration           // what an image takes
+	Lag      time.Duration           // most by which messages take longer
+	Ended    func(protocol.JobID)    // hears of each job's end, if it is not nil
 	AtEnd    float64                 // part of the jobs that are called off at the moment of their end
 	Done     map[protocol.JobID]bool
 	Saved    map[protocol.JobID]int // tasks that saved when they were stopped
@@ -141,6 +143,9 @@
 
 func (w *World) delay() time.Duration {
 	d := time.Duration(1+w.Rng.IntN(8)) * time.Millisecond
+	if w.Lag > 0 {
+		d += time.Duration(w.Rng.Int64N(int64(w.Lag)))
+	}
 	if w.Rng.Float64() < 0.02 {
 		d += time.Duration(w.Rng.IntN(300)) * time.Millisecond
 	}
