A worker that reaches no controller gets no work while it answers direct commands

Cause: a stop that such a worker answered counted as a sign of life, so its machine was filled again with tasks whose starts could not reach it. TestMuteMachine: one placement within 7 s before, none now.

--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -83,7 +83,7 @@
 	if m.rep == nil || !older(r, m.rep.Shift, m.rep.Tally) {
 		m.take(r, c.now.Steady)
 	}
-	m.heardAt = c.now.Steady
+	m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
 	c.keep(m, v.Req, false)
 	if !c.holdBeat(e, m) {
 		c.answerBeat(e, m)
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -21,6 +21,7 @@
 	answered    protocol.Instant // receipt of the last report that was answered with 200
 	baton       protocol.Baton   // under which it was
 	heardAt     protocol.Instant // any sign of life, or the begin of this ownership
+	reportedAt  protocol.Instant // last report that came by itself, or the begin of this ownership
 
 	held   ReqID // a report that waits for its answer
 	heldAt protocol.Instant
@@ -175,7 +176,7 @@
 		m.ownedRev = protocol.Rev(c.mir.Pages[e.Rec.Page].Stamp)
 		m.clear()
 		m.answered, m.baton = 0, 0
-		m.heardAt = c.now.Steady
+		m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
 		m.idleSince = 0
 		m.handTo = ""
 		m.owed, m.doubtAt, m.fails, m.deafAt = false, 0, 0, 0
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -322,7 +322,7 @@
 		if m.barred[t] == try {
 			gone = true // taken back already; that write was refused, or a later one assigned it anew
 		}
-		if rec.Drain && m.firstSeen[t] == 0 && (m.recallAt != 0 || m.faulty || m.deaf()) {
+		if rec.Drain && m.firstSeen[t] == 0 && (m.recallAt != 0 || m.faulty || m.deaf() || c.mute(m)) {
 			gone = true
 		}
 		if gone {
@@ -381,7 +381,7 @@
 }
 
 func (c *Core) wantsDrain(m *mstate, r *bk.MachineRecord) bool {
-	return m.recallAt != 0 || m.faulty || m.deaf() || c.doubted(m) || c.now.Steady < m.restUntil || r.Shift > 0 && c.silent(m)
+	return m.recallAt != 0 || m.faulty || m.deaf() || c.doubted(m) || c.now.Steady < m.restUntil || r.Shift > 0 && (c.silent(m) || c.mute(m))
 }
 
 // quiet tells whether a worker has missed a report for sure.
@@ -394,6 +394,12 @@
 	return m.held == 0 && c.unheard(m) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
 }
 
+// mute tells whether no report has come from a worker for a while, whatever it says when
+// it is asked: starts go out in answers to reports only, so what is placed there waits.
+func (c *Core) mute(m *mstate) bool {
+	return m.held == 0 && c.since(max(m.reportedAt, c.wokeAt)) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
+}
+
 // unheard is for how long nothing has come from a worker while this process could
 // have heard it: one that stood still for seconds takes none of that for silence.
 func (c *Core) unheard(m *mstate) time.Duration { return c.since(max(m.heardAt, c.wokeAt)) }
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -79,6 +79,65 @@
 	}
 }
 
+// A worker that reaches no controller, while direct commands reach it, gets no work, also
+// right behind a command that it has answered: starts go out in answers to its reports only.
+func TestMuteMachine(t *testing.T) {
+	w := NewWorld(23, 3, testFlavors[:1], testTeams())
+	w.NoHire = true
+	w.Config.IdleFactor = 100
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	for i := 0; i < 4; i++ {
+		w.Machine("small", "a", false, 0)
+	}
+	for i := 0; i < 4; i++ {
+		w.At(5*time.Second, func() { w.Submit(array(protocol.JobID(fmt.Sprintf("j-9%d", i)), "l", "low", 4, 1, 300)) })
+	}
+	w.Run(15 * time.Second)
+	var m *Worker
+	for _, id := range slices.Sorted(maps.Keys(w.Workers)) {
+		if len(w.Workers[id].tasks) == 4 {
+			m = w.Workers[id]
+		}
+	}
+	m.Mute = true
+	w.Run(7 * time.Second)
+	placed := 0
+	w.Trace = func(l string) {
+		if strings.Contains(l, "tasks placed") && strings.Contains(l, string(m.ID)) && m.Mute {
+			placed++
+		}
+	}
+	for i := 0; i < 4; i++ { // its stops reach it
+		w.Abort(protocol.JobID(fmt.Sprintf("j-9%d", i)))
+	}
+	for i := 0; i < 30; i++ {
+		w.At(time.Duration(i)*2*time.Second, func() { w.Submit(array(protocol.JobID(fmt.Sprintf("j-%d", i)), "l", "standard", 10, 2, 3)) })
+	}
+	w.Run(7 * time.Second)
+	if placed > 0 {
+		t.Errorf("%d placements on a machine that does not report", placed)
+	}
+	m.Mute = false
+	w.Rules.Calm = w.Now
+	w.Run(10 * time.Second)
+	running := 0
+	for _, k := range m.tasks {
+		if k.stage == protocol.TaskRunning {
+			running++
+		}
+	}
+	if running == 0 {
+		t.Error("the machine is not used again")
+	}
+	w.Run(140 * time.Second)
+	w.Rules.End(w.Now)
+	if len(w.Rules.Broken) > 0 || len(w.Done) != 34 {
+		t.Errorf("%d of 34 done, broken %v", len(w.Done), w.Rules.Broken)
+	}
+}
+
 // A report that outlived its machine, or comes to where it does not belong,
 // brings nothing back and makes no new owner.
 func TestLateCopies(t *testing.T) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -485,7 +485,10 @@
 		})
 	}
 	d := w.delay()
-	if m.Cut || m.Mute || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
+	if m.Mute {
+		return // it can't even connect
+	}
+	if m.Cut || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
 		if w.Rng.IntN(2) == 0 {
 			return
 		}
