--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -180,7 +180,7 @@
 			continue // it has moved to another page since
 		}
 		r := recs[i]
-		r.Page, r.Owner, r.Epoch, r.Baton = id, p.Owner, p.Epoch, p.Epoch.Baton(r.Bump)
+		r.Page, r.Owner, r.Epoch, r.FencingToken = id, p.Owner, p.Epoch, p.Epoch.FencingToken(r.Bump)
 		m.set(mid, &r, f.Machines[i])
 	}
 	if old != nil {
--- a/internal/bookkeeping/mirror_test.go
+++ b/internal/bookkeeping/mirror_test.go
@@ -12,8 +12,8 @@
 func TestLine(t *testing.T) {
 	for _, m := range []MachineRecord{
 		{},
-		{Addr: "10.1.0.1:9000", Build: "g8", Yard: "a", Shift: 3, Since: 1764633600123, Bump: MaxBump},
-		{Addr: "a b|c", Build: "two words", Yard: "x%20y", Loaner: true, Releasing: true, Drain: true, Shift: 1},
+		{Addr: "10.1.0.1:9000", Build: "g8", Yard: "a", Session: 3, Since: 1764633600123, Bump: MaxBump},
+		{Addr: "a b|c", Build: "two words", Yard: "x%20y", Loaner: true, Releasing: true, Drain: true, Session: 1},
 		{Build: "g8", Yard: "-", Assigned: []Assigned{{"j-1", 1, Range(0, 7)}, {"j-2", 9000, Range(1, 1).Add(5)}}},
 	} {
 		line := m.Line("m-000001")
@@ -38,7 +38,7 @@
 	var lines []string
 	for _, m := range machines {
 		id, job, has := strings.Cut(m, "/")
-		r := MachineRecord{Addr: "a", Build: "g", Yard: "z", Shift: 1}
+		r := MachineRecord{Addr: "a", Build: "g", Yard: "z", Session: 1}
 		if has {
 			r.Assign(protocol.Task{Job: protocol.JobID(job)}, 1)
 		}
@@ -68,7 +68,7 @@
 	}
 	// A takeover changes owner and baton of all, and reads no machine again.
 	put(a, page("y#1", 2, map[protocol.JobID]Ranges{"j-1": Range(2, 3)}, "m-1/j-1", "m-2"), 4)
-	if r := m.Machines["m-2"].Rec; r.Owner != "y#1" || r.Baton != Epoch(2).Baton(0) || changes != 3 {
+	if r := m.Machines["m-2"].Rec; r.Owner != "y#1" || r.FencingToken != Epoch(2).FencingToken(0) || changes != 3 {
 		t.Errorf("after the takeover %+v, %d changes", r, changes)
 	}
 	// m-1 moves, in either order of the two keys; m-2 leaves.
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -24,11 +24,13 @@
 // MaxBump is the most that the low part holds.
 const MaxBump = 1<<bumpBits - 1
 
-// Baton is the token of a machine in this epoch.
-func (e Epoch) Baton(bump uint64) protocol.Baton { return protocol.Baton(uint64(e)<<bumpBits | bump) }
+// FencingToken is the token of a machine in this epoch.
+func (e Epoch) FencingToken(bump uint64) protocol.FencingToken {
+	return protocol.FencingToken(uint64(e)<<bumpBits | bump)
+}
 
 // EpochOf is the epoch that a baton belongs to.
-func EpochOf(b protocol.Baton) Epoch { return Epoch(b >> bumpBits) }
+func EpochOf(b protocol.FencingToken) Epoch { return Epoch(b >> bumpBits) }
 
 // Machines are kept on pages, many to a key: where a thousand of them stand
 // against 40 changes a second, a change for each would be the whole budget.
@@ -60,7 +62,7 @@
 			flags += f.name
 		}
 	}
-	shift := strconv.FormatUint(uint64(m.Shift), 10)
+	shift := strconv.FormatUint(uint64(m.Session), 10)
 	if m.Bump > 0 {
 		shift += "+" + strconv.FormatUint(m.Bump, 10)
 	}
@@ -103,7 +105,7 @@
 	if err != nil || err1 != nil || err2 != nil || !id.Valid() {
 		return "", m, fmt.Errorf("malformed machine %q", line)
 	}
-	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Shift: protocol.Shift(shift), Bump: bump,
+	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Session: protocol.Session(shift), Bump: bump,
 		Loaner: strings.Contains(f[6], "l"), Releasing: strings.Contains(f[6], "r"), Drain: strings.Contains(f[6], "x")}
 	for _, s := range f[7:] {
 		p := strings.Split(s, ".")
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -43,7 +43,7 @@
 type Run string
 
 // NewRun names the run of a member that holds the lease.
-func NewRun(m protocol.Member, hold protocol.HoldID) Run { return Run(fmt.Sprintf("%s#%d", m, hold)) }
+func NewRun(m protocol.Member, hold protocol.LeaseID) Run { return Run(fmt.Sprintf("%s#%d", m, hold)) }
 
 // Member is the controller whose run it is.
 func (r Run) Member() protocol.Member {
@@ -82,20 +82,20 @@
 // MachineRecord is what is kept of a machine. It stands on a page with others;
 // owner and baton are the page's.
 type MachineRecord struct {
-	Page      PageID
-	Owner     Run
-	Epoch     Epoch          // of the page
-	Bump      uint64         // counts what its worker was to report at once for
-	Baton     protocol.Baton // both together
-	Shift     protocol.Shift // 0: has not reported yet
-	Assigned  []Assigned
-	Addr      string
-	Build     protocol.Sku
-	Yard      protocol.Zone
-	Loaner    bool
-	Releasing bool            // may be gone at any moment; takes no task
-	Drain     bool            // takes no new task
-	Since     protocol.Millis // when it was rented or first seen
+	Page         PageID
+	Owner        Run
+	Epoch        Epoch                 // of the page
+	Bump         uint64                // counts what its worker was to report at once for
+	FencingToken protocol.FencingToken // both together
+	Session      protocol.Session      // 0: has not reported yet
+	Assigned     []Assigned
+	Addr         string
+	Build        protocol.Sku
+	Yard         protocol.Zone
+	Loaner       bool
+	Releasing    bool            // may be gone at any moment; takes no task
+	Drain        bool            // takes no new task
+	Since        protocol.Millis // when it was rented or first seen
 }
 
 // Clone copies the record so far that its assignments can be changed.
--- a/internal/bookkeeping/state.go
+++ b/internal/bookkeeping/state.go
@@ -97,7 +97,7 @@
 }
 
 // Grant asks for a lease.
-func (s *State) Grant(ttl time.Duration) (protocol.HoldID, error) {
+func (s *State) Grant(ttl time.Duration) (protocol.LeaseID, error) {
 	a, err := s.Calls.Call("POST", protocol.PathHolds, protocol.Encode(protocol.Hold{TTLMS: ttl.Milliseconds()}), s.Timeout)
 	if err != nil {
 		return 0, err
@@ -113,7 +113,7 @@
 }
 
 // Extend renews a lease; ErrGone says that it has ended.
-func (s *State) Extend(id protocol.HoldID) error {
+func (s *State) Extend(id protocol.LeaseID) error {
 	a, err := s.Calls.Call("POST", protocol.ExtendPath(id), []byte("{}"), s.Timeout)
 	switch {
 	case err != nil:
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -118,7 +118,7 @@
 
 // add puts a machine that is not on record on a page of this run, with a baton
 // above the one that its worker has seen. The caller has asked canAdd.
-func (b *batch) add(id protocol.MachineID, r *bk.MachineRecord, above protocol.Baton) {
+func (b *batch) add(id protocol.MachineID, r *bk.MachineRecord, above protocol.FencingToken) {
 	if !b.roll {
 		b.open(bk.RollKey, 100)
 		b.roll = true
@@ -154,7 +154,7 @@
 	d.ids = append(d.ids[:len(d.ids):len(d.ids)], id)
 	d.size += len(r.Line(id)) + 3
 	b.bytes += len(r.Line(id)) + 3
-	r.Page, r.Owner, r.Epoch, r.Baton = page, d.owner, d.epoch, d.epoch.Baton(r.Bump)
+	r.Page, r.Owner, r.Epoch, r.FencingToken = page, d.owner, d.epoch, d.epoch.FencingToken(r.Bump)
 	b.machines[id] = r
 }
 
@@ -198,7 +198,7 @@
 func (b *batch) nudge(id protocol.MachineID) {
 	if r := b.machine(id); r.Bump < bk.MaxBump {
 		r.Bump++
-		r.Baton = r.Epoch.Baton(r.Bump)
+		r.FencingToken = r.Epoch.FencingToken(r.Bump)
 	}
 }
 
--- a/internal/coordination/beats.go
+++ b/internal/coordination/beats.go
@@ -13,11 +13,11 @@
 // that answers nobody, or a late copy, is no reason to hand anything over.)
 func (c *Core) stray(r *protocol.Report) {
 	s, ok := c.strayed[r.Stall]
-	if ok && (r.Shift < s.shift || r.Shift == s.shift && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
+	if ok && (r.Session < s.shift || r.Session == s.shift && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
 		return
 	}
 	if c.doing < maxDoing {
-		c.strayed[r.Stall] = stray{at: c.now.Steady, shift: r.Shift, tally: r.Tally}
+		c.strayed[r.Stall] = stray{at: c.now.Steady, shift: r.Session, tally: r.Tally}
 		c.doing++
 		c.emit(SendShow{r.Stall, r.Addr})
 	}
@@ -48,13 +48,13 @@
 			c.redirect(v.Req, "")
 		default:
 			m := c.mstate(r.Stall)
-			if older(r, m.beatShift, m.beatTally) || e != nil && r.Shift < e.Rec.Shift {
+			if older(r, m.beatShift, m.beatTally) || e != nil && r.Session < e.Rec.Session {
 				c.redirect(v.Req, "") // a late copy
 				return
 			}
 			c.dropHeld(m)
 			m.take(r, c.now.Steady)
-			m.beatShift, m.beatTally = r.Shift, r.Tally
+			m.beatShift, m.beatTally = r.Session, r.Tally
 			c.keep(m, v.Req, true)
 			if e == nil {
 				// It may be a copy that outlived its machine. Only a worker that
@@ -64,23 +64,23 @@
 		}
 		return
 	}
-	if r.Baton > e.Rec.Baton {
+	if r.FencingToken > e.Rec.FencingToken {
 		// Someone else is entitled by now, whatever the mirror says.
 		c.redirect(v.Req, "")
 		return
 	}
 	m := c.own(e, r.Stall)
-	if older(r, m.beatShift, m.beatTally) || r.Shift < e.Rec.Shift {
+	if older(r, m.beatShift, m.beatTally) || r.Session < e.Rec.Session {
 		c.redirect(v.Req, "") // delivered late; its worker has long gone on
 		return
 	}
 	c.dropHeld(m)
-	m.beatShift, m.beatTally = r.Shift, r.Tally
+	m.beatShift, m.beatTally = r.Session, r.Tally
 	c.heed(e, m, r)
 	// One report is in flight at a time: the last answer has been carried out
 	// or dropped by now.
 	clear(m.inflight)
-	if m.rep == nil || !older(r, m.rep.Shift, m.rep.Tally) {
+	if m.rep == nil || !older(r, m.rep.Session, m.rep.Tally) {
 		m.take(r, c.now.Steady)
 	}
 	m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
@@ -119,12 +119,12 @@
 // session has ended. Whether it hears is then asked directly.
 func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
 	switch {
-	case r.Shift > m.owedShift && m.owedShift != 0, m.owed && (r.Baton < m.baton || !m.showsStarts(r)):
+	case r.Session > m.owedShift && m.owedShift != 0, m.owed && (r.FencingToken < m.baton || !m.showsStarts(r)):
 		c.doubt(m)
 	case m.owed:
 		c.hears(m)
 	}
-	m.owed, m.owedShift = false, r.Shift
+	m.owed, m.owedShift = false, r.Session
 }
 
 func (c *Core) doubt(m *mstate) {
@@ -172,16 +172,16 @@
 		return false
 	}
 	r := m.rep
-	if m.deaf() || m.confirmed < e.Rec.Baton {
+	if m.deaf() || m.confirmed < e.Rec.FencingToken {
 		return false
 	}
 	if c.since(m.heldAt) >= c.beatHold() {
 		return c.holdIdle(e, m)
 	}
-	if r.Shift != e.Rec.Shift {
-		return bk.EpochOf(r.Baton) == e.Rec.Epoch || e.Rec.Shift == 0
+	if r.Session != e.Rec.Session {
+		return bk.EpochOf(r.FencingToken) == e.Rec.Epoch || e.Rec.Session == 0
 	}
-	if bk.EpochOf(r.Baton) != e.Rec.Epoch {
+	if bk.EpochOf(r.FencingToken) != e.Rec.Epoch {
 		return false
 	}
 	for i := range r.Pieces {
@@ -226,7 +226,7 @@
 // run there it waits only where reports are so far apart that it pays.
 func (c *Core) holdIdle(e *bk.Machine, m *mstate) bool {
 	r, rec := m.rep, &e.Rec
-	if c.since(m.heldAt) >= c.cfg.IdleHold || !c.fresh() || bk.EpochOf(r.Baton) != rec.Epoch || r.Shift != rec.Shift || r.RecallS != nil ||
+	if c.since(m.heldAt) >= c.cfg.IdleHold || !c.fresh() || bk.EpochOf(r.FencingToken) != rec.Epoch || r.Session != rec.Session || r.RecallS != nil ||
 		rec.Releasing || rec.Drain {
 		return false
 	}
@@ -284,7 +284,7 @@
 				m.adopt = false
 				delete(c.adopting, id)
 				c.own(e, id)
-				if m.rep.Baton > e.Rec.Baton || m.rep.Shift < e.Rec.Shift {
+				if m.rep.FencingToken > e.Rec.FencingToken || m.rep.Session < e.Rec.Session {
 					c.dropHeld(m)
 				} else if c.mir.Rev >= m.ownedRev {
 					c.answerBeat(e, m)
@@ -298,7 +298,7 @@
 		}
 		if e != nil && !c.mine(&e.Rec) && c.mir.Alive(e.Rec.Owner) {
 			c.redirect(c.unhold(m), e.Rec.Owner.Member())
-		} else if e == nil || !c.mine(&e.Rec) || m.rep.Baton > e.Rec.Baton {
+		} else if e == nil || !c.mine(&e.Rec) || m.rep.FencingToken > e.Rec.FencingToken {
 			c.dropHeld(m)
 		} else if !c.holdBeat(e, m) {
 			c.answerBeat(e, m)
@@ -320,11 +320,11 @@
 			m.inflight[o.Task] = o.Try
 		}
 	}
-	m.owed = len(m.inflight) > 0 || m.rep.Baton < e.Rec.Baton
-	o := protocol.Orders{Baton: e.Rec.Baton, Orders: orders}
+	m.owed = len(m.inflight) > 0 || m.rep.FencingToken < e.Rec.FencingToken
+	o := protocol.Orders{FencingToken: e.Rec.FencingToken, Orders: orders}
 	c.emit(Reply{Req: c.unhold(m), Status: 200, Body: o.Encode()})
 	if m.heldAt > m.answered {
-		m.answered, m.baton = m.heldAt, e.Rec.Baton
+		m.answered, m.baton = m.heldAt, e.Rec.FencingToken
 	}
 }
 
@@ -359,7 +359,7 @@
 			out = append(out, protocol.Order{Verb: protocol.Stop, Task: p.Task, Try: p.Try, WindDownS: &g})
 		}
 	}
-	if !inAnswer || !fresh || rep.Shift != rec.Shift || rec.Releasing || m.deaf() {
+	if !inAnswer || !fresh || rep.Session != rec.Session || rec.Releasing || m.deaf() {
 		return out
 	}
 	for i := range rec.Assigned {
@@ -432,7 +432,7 @@
 	}
 	if e == nil || !c.mine(&e.Rec) {
 		// Asked as a last resort: what its worker shows is no less true.
-		if e != nil && ok && (m.rep == nil || !older(v.Report, m.rep.Shift, m.rep.Tally)) {
+		if e != nil && ok && (m.rep == nil || !older(v.Report, m.rep.Session, m.rep.Tally)) {
 			m.take(v.Report, c.now.Steady)
 		}
 		return
@@ -450,7 +450,7 @@
 		}
 		return
 	}
-	if m.rep == nil || !older(v.Report, m.rep.Shift, m.rep.Tally) {
+	if m.rep == nil || !older(v.Report, m.rep.Session, m.rep.Tally) {
 		m.take(v.Report, c.now.Steady)
 		c.hears(m)
 	}
@@ -465,16 +465,16 @@
 	if m.doOut || m.doAt != 0 && c.since(m.doAt) < again || e.Rec.Addr == "" || len(orders) == 0 && c.doing >= maxDoing {
 		return
 	}
-	shift := e.Rec.Shift
-	if m.rep != nil && m.rep.Shift > shift {
-		shift = m.rep.Shift
+	shift := e.Rec.Session
+	if m.rep != nil && m.rep.Session > shift {
+		shift = m.rep.Session
 	}
 	if shift == 0 {
 		return
 	}
 	m.doOut, m.doAt = true, c.now.Steady
 	c.doing++
-	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{Baton: e.Rec.Baton, Shift: shift, Orders: orders}})
+	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{FencingToken: e.Rec.FencingToken, Session: shift, Orders: orders}})
 }
 
 // show asks the worker of a machine that this run does not own for its report.
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -153,7 +153,7 @@
 	rec := &e.Rec
 	fl := c.flavor(rec.Build)
 	age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
-	if rec.Shift == 0 {
+	if rec.Session == 0 {
 		if fl == nil {
 			return ""
 		}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -72,7 +72,7 @@
 		// Own pages have news all the time; some room is left for others' pages, or what
 		// is free there would wait for ever.
 		keep := 0
-		if c.planned.abroad && c.behind() {
+		if c.planned.abroad && c.partial {
 			keep = b.room / 4
 		}
 		b.room -= keep
@@ -99,9 +99,6 @@
 	c.send(&txn{multi: m, logs: b.logs})
 }
 
-// behind tells whether the last transaction could not take the news of all own pages.
-func (c *Core) behind() bool { return c.partial }
-
 // flushUsers sends new and withdrawn jobs.
 func (c *Core) flushUsers() {
 	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.hold == 0 || !c.registered() || c.fence || c.mir.Rev < c.minRev ||
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -45,8 +45,8 @@
 
 	// This process run.
 	run       bk.Run
-	hold      protocol.HoldID // lease of run, or the one to register with
-	self      protocol.Stamp  // stamp of this member's key while run is registered
+	hold      protocol.LeaseID // lease of run, or the one to register with
+	self      protocol.Stamp   // stamp of this member's key while run is registered
 	granting  bool
 	extending bool
 	extendAt  protocol.Instant
@@ -135,7 +135,7 @@
 // stray is a report that came to a node that does not own its machine.
 type stray struct {
 	at    protocol.Instant
-	shift protocol.Shift
+	shift protocol.Session
 	tally protocol.Tally
 	shown bool // its worker has answered here since
 }
@@ -303,7 +303,7 @@
 	for _, s := range h.Seen[:min(len(h.Seen), 200)] {
 		if e := c.mir.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
 			m := c.own(e, s.Machine)
-			if s.Shift < m.beatShift || s.Shift == m.beatShift && s.Tally <= m.beatTally {
+			if s.Session < m.beatShift || s.Session == m.beatShift && s.Tally <= m.beatTally {
 				continue // a late copy of a report that has been here
 			}
 			m.handTo, m.handAt = h.Run, c.now.Steady
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -119,7 +119,7 @@
 }
 
 func report(e *bk.Machine, tally protocol.Tally, pieces ...protocol.TaskReport) *protocol.Report {
-	return &protocol.Report{Stall: "m-1", Addr: "a", Build: "s", Yard: "a", Shift: e.Rec.Shift, Tally: tally, Baton: e.Rec.Baton, Pieces: pieces}
+	return &protocol.Report{Stall: "m-1", Addr: "a", Build: "s", Yard: "a", Session: e.Rec.Session, Tally: tally, FencingToken: e.Rec.FencingToken, Pieces: pieces}
 }
 
 // What keeps an assigned task from being started: a stop or a requeue of this
@@ -143,7 +143,7 @@
 			t.Fatal(err)
 		}
 		task := protocol.Task{Job: "j-1"}
-		rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(task, 5)
 		e, m := own(t, core, rec)
 		m.take(report(e, 1), core.now.Steady)
@@ -173,7 +173,7 @@
 func TestSeenElsewhere(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		shift protocol.Shift
+		shift protocol.Session
 		tally protocol.Tally
 		want  bool
 	}{
@@ -184,7 +184,7 @@
 		{"an earlier session", 1, 99, false},
 	} {
 		core, step := begin(t)
-		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 2})
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 2})
 		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 7))})
 		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
@@ -237,20 +237,20 @@
 	const epoch = 3 // as own writes it
 	for _, c := range []struct {
 		name      string
-		confirmed protocol.Baton
+		confirmed protocol.FencingToken
 		after     time.Duration
 		want      bool
 	}{
-		{"within the lease", bk.Epoch(epoch).Baton(0), 13 * time.Second, false},
-		{"at its end, clocks may drift", bk.Epoch(epoch).Baton(0), 14*time.Second + 300*time.Millisecond, false},
-		{"behind it", bk.Epoch(epoch).Baton(0), 16 * time.Second, true},
-		{"behind it, before the newest rise was shown", bk.Epoch(epoch).Baton(1), 16 * time.Second, true},
-		{"the worker has shown an earlier owner's only", bk.Epoch(epoch - 1).Baton(9), 16 * time.Second, false},
+		{"within the lease", bk.Epoch(epoch).FencingToken(0), 13 * time.Second, false},
+		{"at its end, clocks may drift", bk.Epoch(epoch).FencingToken(0), 14*time.Second + 300*time.Millisecond, false},
+		{"behind it", bk.Epoch(epoch).FencingToken(0), 16 * time.Second, true},
+		{"behind it, before the newest rise was shown", bk.Epoch(epoch).FencingToken(1), 16 * time.Second, true},
+		{"the worker has shown an earlier owner's only", bk.Epoch(epoch - 1).FencingToken(9), 16 * time.Second, false},
 	} {
 		core, step := begin(t)
-		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1, Bump: 2})
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1, Bump: 2})
 		r := report(e, 1)
-		r.Baton = c.confirmed
+		r.FencingToken = c.confirmed
 		step(0, BeatInput{Req: 1, Body: protocol.Encode(r)})
 		step(3*time.Second, Tick{}) // answered by now
 		step(c.after-3*time.Second, ExtendResult{Hold: 7})
@@ -274,7 +274,7 @@
 		{"past all leases", 48 * time.Second, false, false},
 	} {
 		core, step := begin(t)
-		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1})
 		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 1))})
 		for i := 0; i < 40; i++ { // all is asked for before the pause
 			step(50*time.Millisecond, Tick{})
@@ -323,7 +323,7 @@
 			var lines []string
 			for i := 0; i < 60; i++ {
 				id := protocol.MachineID(fmt.Sprintf("m-%06d", p*60+i))
-				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Shift: 1}
+				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Session: 1}
 				for k := 0; k < 4; k++ {
 					r.Assign(protocol.Task{Job: "j-000001", Piece: 4*i + k}, protocol.Attempt(1000+k))
 				}
@@ -432,7 +432,7 @@
 			var lines []string
 			for range count {
 				n++
-				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Shift: 1}
+				r := bk.MachineRecord{Addr: "10.1.0.1:9000", Build: "s", Yard: "a", Session: 1}
 				lines = append(lines, r.Line(protocol.MachineID(fmt.Sprintf("m-%06d", n))))
 			}
 			data := bk.EncodePage(core.run, epoch, lines, map[protocol.JobID]bk.Ranges{"j-1": done})
@@ -479,7 +479,7 @@
 		{"was slow, has mended", []int{25, 25, 25, 25, 10, 10, 10, 10, 10, 10}, false, false},
 	} {
 		core, step := begin(t)
-		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1})
 		j := core.jstate("j-1")
 		j.runs, j.runTime = 100, 1000*time.Second
 		tally := protocol.Tally(0)
@@ -519,7 +519,7 @@
 		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
 		}
-		own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Shift: 1})
+		own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1})
 		given := false
 		for i := 0; i < 400; i++ {
 			gap := c.gaps[min(i, len(c.gaps)-1)]
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -60,12 +60,12 @@
 	}
 	// GrantResult is a new lease.
 	GrantResult struct {
-		Hold protocol.HoldID
+		Hold protocol.LeaseID
 		Err  error
 	}
 	// ExtendResult is a renewed lease.
 	ExtendResult struct {
-		Hold protocol.HoldID
+		Hold protocol.LeaseID
 		Err  error
 	}
 	// FlavorsResult has the machine types.
@@ -124,7 +124,7 @@
 // Seen is a report of another owner's machine, with its place among all of them.
 type Seen struct {
 	Machine protocol.MachineID
-	Shift   protocol.Shift
+	Session protocol.Session
 	Tally   protocol.Tally
 }
 
@@ -151,7 +151,7 @@
 	// Grant asks for a lease.
 	Grant struct{ TTL time.Duration }
 	// Extend renews a lease.
-	Extend struct{ Hold protocol.HoldID }
+	Extend struct{ Hold protocol.LeaseID }
 	// AskFlavors reads the machine types and prices.
 	AskFlavors struct{}
 	// SendHire rents machines.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -14,14 +14,14 @@
 
 	rep         *protocol.Report // newest report
 	byTask      map[protocol.Task]*protocol.TaskReport
-	confirmed   protocol.Baton   // highest baton that the worker has shown
-	confirmedAt protocol.Instant // when it first did
-	beatShift   protocol.Shift   // order of the reports
-	beatTally   protocol.Tally   //
-	answered    protocol.Instant // receipt of the last report that was answered with 200
-	baton       protocol.Baton   // under which it was
-	heardAt     protocol.Instant // any sign of life, or the begin of this ownership
-	reportedAt  protocol.Instant // last report that came by itself, or the begin of this ownership
+	confirmed   protocol.FencingToken // highest baton that the worker has shown
+	confirmedAt protocol.Instant      // when it first did
+	beatShift   protocol.Session      // order of the reports
+	beatTally   protocol.Tally        //
+	answered    protocol.Instant      // receipt of the last report that was answered with 200
+	baton       protocol.FencingToken // under which it was
+	heardAt     protocol.Instant      // any sign of life, or the begin of this ownership
+	reportedAt  protocol.Instant      // last report that came by itself, or the begin of this ownership
 
 	held   ReqID // a report that waits for its answer
 	heldAt protocol.Instant
@@ -31,7 +31,7 @@
 	// Whether what is sent to the worker arrives. Its reports may come in all
 	// the while: they say nothing of the way back.
 	owed      bool // the last answer had a start, or a baton, that the worker must show
-	owedShift protocol.Shift
+	owedShift protocol.Session
 	doubtAt   protocol.Instant // since when it is not sure that it hears; 0: it does
 	failAt    protocol.Instant // when the first of the direct commands failed that have failed in a row
 	fails     int              // and how many those are
@@ -187,7 +187,7 @@
 // proven is the newest report if it was sent under the current baton and in
 // the recorded session: only then does what it lacks prove anything.
 func (m *mstate) proven(r *bk.MachineRecord) *protocol.Report {
-	if m.rep == nil || bk.EpochOf(m.rep.Baton) != r.Epoch || m.rep.Shift != r.Shift {
+	if m.rep == nil || bk.EpochOf(m.rep.FencingToken) != r.Epoch || m.rep.Session != r.Session {
 		return nil
 	}
 	return m.rep
@@ -196,10 +196,10 @@
 func (m *mstate) take(r *protocol.Report, now protocol.Instant) {
 	m.rep = r
 	m.heardAt = now
-	if bk.EpochOf(r.Baton) > bk.EpochOf(m.confirmed) {
+	if bk.EpochOf(r.FencingToken) > bk.EpochOf(m.confirmed) {
 		m.confirmedAt = now
 	}
-	m.confirmed = max(m.confirmed, r.Baton)
+	m.confirmed = max(m.confirmed, r.FencingToken)
 	m.byTask = make(map[protocol.Task]*protocol.TaskReport, len(r.Pieces))
 	for i := range r.Pieces {
 		p := &r.Pieces[i]
@@ -239,8 +239,8 @@
 	}
 }
 
-func older(r *protocol.Report, shift protocol.Shift, tally protocol.Tally) bool {
-	return r.Shift < shift || r.Shift == shift && r.Tally <= tally
+func older(r *protocol.Report, shift protocol.Session, tally protocol.Tally) bool {
+	return r.Session < shift || r.Session == shift && r.Tally <= tally
 }
 
 // onLost forgets machines that have left the records.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -122,7 +122,7 @@
 		c.claim(b, q)
 		if q.rec.Desc.Gang() {
 			c.placeGang(b, q, rooms)
-		} else if len(group) > 1 && c.behind() {
+		} else if len(group) > 1 && c.partial {
 			c.placeArray(b, q, rooms, protocol.MaxPieces, true)
 		}
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -36,13 +36,13 @@
 			if !m.shown {
 				continue
 			}
-			b.add(id, &bk.MachineRecord{Shift: m.rep.Shift, Addr: m.rep.Addr, Build: m.rep.Build, Yard: m.rep.Yard,
-				Loaner: m.rep.Loaners, Since: c.now.Wall}, m.rep.Baton)
+			b.add(id, &bk.MachineRecord{Session: m.rep.Session, Addr: m.rep.Addr, Build: m.rep.Build, Yard: m.rep.Yard,
+				Loaner: m.rep.Loaners, Since: c.now.Wall}, m.rep.FencingToken)
 			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
 		} else if at, dead := c.deadAt[e.Rec.Owner]; dead && (c.since(at) > time.Second && c.heir(bk.PageKey(e.Rec.Page)) || c.since(at) > 4*time.Second) {
 			// Not whoever hears of it first: when all come back, the first one
 			// would have the whole fleet.
-			c.takeOver(b, e.Rec.Page, m.rep.Baton)
+			c.takeOver(b, e.Rec.Page, m.rep.FencingToken)
 		}
 	}
 	if len(c.deadAt) == 0 {
@@ -104,7 +104,7 @@
 }
 
 // takeOver makes this run the owner of a page, with all machines on it.
-func (c *Core) takeOver(b *batch, id bk.PageID, above protocol.Baton) {
+func (c *Core) takeOver(b *batch, id bk.PageID, above protocol.FencingToken) {
 	d := b.page(id)
 	if d.owner == c.run {
 		return
@@ -198,7 +198,7 @@
 func (c *Core) mostOf(p *bk.Page, n int) bool {
 	talk := 0
 	for _, id := range p.Machines {
-		if e := c.mir.Machines[id]; e != nil && e.Rec.Shift > 0 && !c.quiet(c.own(e, id)) {
+		if e := c.mir.Machines[id]; e != nil && e.Rec.Session > 0 && !c.quiet(c.own(e, id)) {
 			talk++
 		}
 	}
@@ -253,15 +253,15 @@
 		return
 	}
 	// A newer session: whatever was assigned in the old one has been killed.
-	if rep != nil && rep.Shift > rec.Shift && rep.Baton <= rec.Baton {
-		if rec.Shift > 0 || len(rec.Assigned) == 0 {
+	if rep != nil && rep.Session > rec.Session && rep.FencingToken <= rec.FencingToken {
+		if rec.Session > 0 || len(rec.Assigned) == 0 {
 			if !b.hasRoom(b.needs(id)) {
 				return
 			}
 			r := b.machine(id)
 			c.takeBackAll(b, m, r, "newer session")
-			r.Shift, r.Addr = rep.Shift, rep.Addr
-			if rec.Shift == 0 {
+			r.Session, r.Addr = rep.Session, rep.Addr
+			if rec.Session == 0 {
 				r.Build, r.Yard, r.Loaner = rep.Build, rep.Yard, rep.Loaners
 			}
 		}
@@ -381,7 +381,7 @@
 }
 
 func (c *Core) wantsDrain(m *mstate, r *bk.MachineRecord) bool {
-	return m.recallAt != 0 || m.faulty || m.deaf() || c.doubted(m) || c.now.Steady < m.restUntil || r.Shift > 0 && (c.silent(m) || c.mute(m))
+	return m.recallAt != 0 || m.faulty || m.deaf() || c.doubted(m) || c.now.Steady < m.restUntil || r.Session > 0 && (c.silent(m) || c.mute(m))
 }
 
 // quiet tells whether a worker has missed a report for sure.
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -92,7 +92,7 @@
 		if fl == nil {
 			continue
 		}
-		r := &room{id: id, m: c.machines[id], rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Shift == 0}
+		r := &room{id: id, m: c.machines[id], rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Session == 0}
 		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner] || c.releasing[id] != nil
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -13,11 +13,11 @@
 		return
 	}
 	c.watchGangs()
-	type held struct {
+	type ownedMachine struct {
 		e *bk.Machine
 		m *mstate
 	}
-	var owned []held
+	var owned []ownedMachine
 	total, quiet := 0, 0
 	for _, p := range c.ownPages() {
 		for _, id := range c.mir.Pages[p].Machines {
@@ -26,8 +26,8 @@
 				continue
 			}
 			m := c.own(e, id)
-			owned = append(owned, held{e, m})
-			if e.Rec.Shift > 0 && !e.Rec.Releasing {
+			owned = append(owned, ownedMachine{e, m})
+			if e.Rec.Session > 0 && !e.Rec.Releasing {
 				total++
 				if c.silent(m) {
 					quiet++
@@ -44,7 +44,7 @@
 		e, m := o.e, o.m
 		c.tickStops(e, m)
 		c.tickRelease(e, m, cutOff)
-		if newer := m.confirmed < e.Rec.Baton; e.Rec.Shift > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
+		if newer := m.confirmed < e.Rec.FencingToken; e.Rec.Session > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
 			newer && c.since(m.heardAt) > 500*time.Millisecond || m.doubtAt != 0 && m.heardAt >= m.doubtAt) {
 			// The worker may still report to an owner that was cut off: the
 			// higher baton makes that one's answers worthless. One that may not
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -76,7 +76,7 @@
 	if m == nil || m.rep == nil || bk.EpochOf(m.confirmed) < e.Rec.Epoch {
 		return false
 	}
-	if m.rep.Shift > e.Rec.Shift || c.surelyExpired(m, &e.Rec) {
+	if m.rep.Session > e.Rec.Session || c.surelyExpired(m, &e.Rec) {
 		return true // killed
 	}
 	if m.proven(&e.Rec) == nil {
@@ -283,10 +283,10 @@
 // holdsCalledOff tells whether a task of a job that is called off may still be on the
 // machine, and for how long that job has been.
 func (c *Core) holdsCalledOff(m *mstate, r *bk.MachineRecord) (longest time.Duration, holds bool) {
-	if m.rep != nil && m.rep.Shift > r.Shift {
+	if m.rep != nil && m.rep.Session > r.Session {
 		return 0, false // killed
 	}
-	known := m.rep != nil && m.rep.Shift == r.Shift && bk.EpochOf(m.rep.Baton) >= r.Epoch
+	known := m.rep != nil && m.rep.Session == r.Session && bk.EpochOf(m.rep.FencingToken) >= r.Epoch
 	for i := range r.Assigned {
 		a := &r.Assigned[i]
 		if !c.calledOff(a.Job) {
--- a/internal/coordination/withdraw_test.go
+++ b/internal/coordination/withdraw_test.go
@@ -43,12 +43,12 @@
 		}, false},
 		{"the worker has shown an earlier baton only", func(core *Core, e *bk.Machine, m *mstate) {
 			r := report(e, 1, piece(protocol.TaskRunning))
-			r.Baton = bk.Epoch(2).Baton(0)
+			r.FencingToken = bk.Epoch(2).FencingToken(0)
 			m.take(r, core.now.Steady)
 		}, false},
 		{"a newer session", func(core *Core, e *bk.Machine, m *mstate) {
 			r := report(e, 1)
-			r.Shift++
+			r.Session++
 			m.take(r, core.now.Steady)
 		}, true},
 		{"released, and that answered", func(core *Core, e *bk.Machine, m *mstate) {
@@ -60,7 +60,7 @@
 	} {
 		core, _ := begin(t)
 		withdrawing(t, core, 2)
-		rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(task, 5)
 		e, m := own(t, core, rec)
 		c.do(core, e, m)
@@ -98,7 +98,7 @@
 				t.Fatal(err)
 			}
 		}
-		rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(protocol.Task{Job: "j-1"}, 5)
 		if _, err := core.mir.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 5); err != nil {
 			t.Fatal(err)
@@ -130,7 +130,7 @@
 		if _, err := core.mir.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1}}`), 2); err != nil {
 			t.Fatal(err)
 		}
-		rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(protocol.Task{Job: "j-1"}, 5)
 		rec.Assign(protocol.Task{Job: "j-1", Piece: 1}, 5)
 		e, m := own(t, core, rec)
@@ -172,7 +172,7 @@
 // a withdrawal that the owner before knew of.
 func TestNoAnswerBehindTakeover(t *testing.T) {
 	core, step := begin(t)
-	rec := bk.MachineRecord{Build: "s", Yard: "a", Shift: 2}
+	rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 	e, _ := own(t, core, rec) // its page is newer than the mirror: an own write that was answered
 	if core.mir.Rev = 0; core.machines["m-1"].ownedRev == 0 {
 		t.Fatal("the page has no revision")
--- a/internal/protocol/ids.go
+++ b/internal/protocol/ids.go
@@ -12,20 +12,20 @@
 
 // Small types of their own, so that one kind of number never stands in for another.
 type (
-	JobID     string // "j-000412"
-	MachineID string // "m-000231"
-	Member    string // name of a controller
-	Zone      string
-	Sku       string // machine type
-	Attempt   uint64 // attempt number of a task
-	Baton     uint64 // fencing token that workers compare
-	Shift     uint64 // a worker's session
-	Tally     uint64 // order of a worker's messages within its session
-	Rev       uint64 // revision of the state service
-	Stamp     uint64 // revision of a key's last change; 0: the key does not exist
-	HoldID    uint64 // lease of the state service
-	Instant   int64  // this process's steady clock, in nanoseconds
-	Millis    int64  // time of day in milliseconds since the epoch
+	JobID        string // "j-000412"
+	MachineID    string // "m-000231"
+	Member       string // name of a controller
+	Zone         string
+	Sku          string // machine type
+	Attempt      uint64 // attempt number of a task
+	FencingToken uint64 // fencing token that workers compare
+	Session      uint64 // a worker's session
+	Tally        uint64 // order of a worker's messages within its session
+	Rev          uint64 // revision of the state service
+	Stamp        uint64 // revision of a key's last change; 0: the key does not exist
+	LeaseID      uint64 // lease of the state service
+	Instant      int64  // this process's steady clock, in nanoseconds
+	Millis       int64  // time of day in milliseconds since the epoch
 )
 
 // Add moves an instant by a duration.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -129,9 +129,9 @@
 		v    any
 		want string
 	}{
-		{&Orders{Baton: 41, Orders: []Order{{Verb: Start, Task: Task{"j-000412", 4}, Try: 2}}},
+		{&Orders{FencingToken: 41, Orders: []Order{{Verb: Start, Task: Task{"j-000412", 4}, Try: 2}}},
 			`{"baton":41,"orders":[{"verb":"start","piece":"j-000412/4","try":2}]}`},
-		{&Orders{Baton: 41, Shift: 1, Orders: []Order{{Verb: Stop, Task: Task{"j-000377", 1}, Try: 1, WindDownS: &grace}}},
+		{&Orders{FencingToken: 41, Session: 1, Orders: []Order{{Verb: Stop, Task: Task{"j-000377", 1}, Try: 1, WindDownS: &grace}}},
 			`{"baton":41,"shift":1,"orders":[{"verb":"stop","piece":"j-000377/1","try":1,"wind_down_s":10}]}`},
 		{Foreman{"stall-2"}, `{"foreman":"stall-2"}`},
 		{JobAnswer{UID: "j-1", Stage: Running, Done: &done, Running: &done}, `{"uid":"j-1","stage":"running","done":3,"running":3}`},
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -27,7 +27,7 @@
 type Then struct {
 	Put     string          `json:"put,omitempty"`
 	Data    json.RawMessage `json:"data,omitempty"`
-	Tenancy HoldID          `json:"tenancy,omitempty"`
+	Tenancy LeaseID         `json:"tenancy,omitempty"`
 	Delete  string          `json:"delete,omitempty"`
 }
 
@@ -74,8 +74,8 @@
 
 // Hold is a lease: asked for with TTL, answered with Tenancy.
 type Hold struct {
-	TTLMS   int64  `json:"ttl_ms,omitempty"`
-	Tenancy HoldID `json:"tenancy,omitempty"`
+	TTLMS   int64   `json:"ttl_ms,omitempty"`
+	Tenancy LeaseID `json:"tenancy,omitempty"`
 }
 
 // KeysPath asks for the page of keys behind one.
@@ -96,4 +96,4 @@
 }
 
 // ExtendPath renews a lease.
-func ExtendPath(id HoldID) string { return fmt.Sprintf("%s/%d%s", PathHolds, id, extendEnd) }
+func ExtendPath(id LeaseID) string { return fmt.Sprintf("%s/%d%s", PathHolds, id, extendEnd) }
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -46,16 +46,16 @@
 
 // Report is what a worker says of its machine.
 type Report struct {
-	Stall   MachineID    `json:"stall"`
-	Addr    string       `json:"addr"`
-	Build   Sku          `json:"build"`
-	Yard    Zone         `json:"yard"`
-	Loaners bool         `json:"loaners"`
-	Shift   Shift        `json:"shift"`
-	Tally   Tally        `json:"tally"`
-	Baton   Baton        `json:"baton"`
-	RecallS *float64     `json:"recall_s"`
-	Pieces  []TaskReport `json:"pieces"`
+	Stall        MachineID    `json:"stall"`
+	Addr         string       `json:"addr"`
+	Build        Sku          `json:"build"`
+	Yard         Zone         `json:"yard"`
+	Loaners      bool         `json:"loaners"`
+	Session      Session      `json:"shift"`
+	Tally        Tally        `json:"tally"`
+	FencingToken FencingToken `json:"baton"`
+	RecallS      *float64     `json:"recall_s"`
+	Pieces       []TaskReport `json:"pieces"`
 }
 
 // ParseReport reads and checks a worker's report.
@@ -64,7 +64,7 @@
 	if err := DecodeStrict(body, &r); err != nil {
 		return nil, err
 	}
-	if !r.Stall.Valid() || r.Shift == 0 || r.Build == "" || r.Yard == "" {
+	if !r.Stall.Valid() || r.Session == 0 || r.Build == "" || r.Yard == "" {
 		return nil, bad("report")
 	}
 	if r.RecallS != nil && (*r.RecallS < 0 || *r.RecallS > 1e6) {
@@ -91,11 +91,11 @@
 	WindDownS *float64  `json:"wind_down_s,omitempty"`
 }
 
-// Orders is the answer to a report and, with Shift, a direct command.
+// Orders is the answer to a report and, with Session, a direct command.
 type Orders struct {
-	Baton  Baton   `json:"baton"`
-	Shift  Shift   `json:"shift,omitempty"`
-	Orders []Order `json:"orders"`
+	FencingToken FencingToken `json:"baton"`
+	Session      Session      `json:"shift,omitempty"`
+	Orders       []Order      `json:"orders"`
 }
 
 // Encode gives the message's wire form.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -17,7 +17,7 @@
 type item struct {
 	data  json.RawMessage
 	stamp protocol.Stamp
-	hold  protocol.HoldID
+	hold  protocol.LeaseID
 }
 
 // State is the state service.
@@ -30,16 +30,16 @@
 
 	rev    protocol.Rev
 	items  map[string]item
-	holds  map[protocol.HoldID]time.Duration // when they end
-	ttl    map[protocol.HoldID]time.Duration
-	nextID protocol.HoldID
+	holds  map[protocol.LeaseID]time.Duration // when they end
+	ttl    map[protocol.LeaseID]time.Duration
+	nextID protocol.LeaseID
 	log    []protocol.News
 	kept   int // changes that /follow still has
 }
 
 // NewState makes an empty store that keeps the given number of changes.
 func NewState(kept int) *State {
-	return &State{Value: 8192, Ops: 8, items: map[string]item{}, holds: map[protocol.HoldID]time.Duration{}, ttl: map[protocol.HoldID]time.Duration{}, kept: kept}
+	return &State{Value: 8192, Ops: 8, items: map[string]item{}, holds: map[protocol.LeaseID]time.Duration{}, ttl: map[protocol.LeaseID]time.Duration{}, kept: kept}
 }
 
 func (s *State) stamp(key string) protocol.Stamp { return s.items[key].stamp }
@@ -120,14 +120,14 @@
 }
 
 // Grant gives a lease.
-func (s *State) Grant(now, ttl time.Duration) protocol.HoldID {
+func (s *State) Grant(now, ttl time.Duration) protocol.LeaseID {
 	s.nextID++
 	s.holds[s.nextID], s.ttl[s.nextID] = now+ttl, ttl
 	return s.nextID
 }
 
 // Extend renews a lease if it still lives.
-func (s *State) Extend(now time.Duration, id protocol.HoldID) bool {
+func (s *State) Extend(now time.Duration, id protocol.LeaseID) bool {
 	if _, ok := s.holds[id]; !ok {
 		return false
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -30,9 +30,9 @@
 	Deaf    bool // its reports arrive, answers and commands do not reach it
 	hung    bool // it stands still, and may go on
 	late    []func()
-	shift   protocol.Shift
+	shift   protocol.Session
 	tally   protocol.Tally
-	baton   protocol.Baton
+	baton   protocol.FencingToken
 	tasks   map[protocol.Task]*task
 	leased  time.Duration // when the last answered report was sent
 	node    int
@@ -48,7 +48,7 @@
 func (m *Worker) body() []byte {
 	m.tally++
 	r := protocol.Report{Stall: m.ID, Addr: "10.1.0.1:1", Build: m.Build, Yard: m.Zone, Loaners: m.Loaner,
-		Shift: m.shift, Tally: m.tally, Baton: m.baton, Pieces: []protocol.TaskReport{}}
+		Session: m.shift, Tally: m.tally, FencingToken: m.baton, Pieces: []protocol.TaskReport{}}
 	if m.recall > 0 {
 		left := (m.recall - m.w.Now).Seconds()
 		r.RecallS = &left
@@ -240,10 +240,10 @@
 	switch status {
 	case 200:
 		var o protocol.Orders
-		if json.Unmarshal(ans, &o) != nil || o.Baton == 0 || o.Baton < m.baton {
+		if json.Unmarshal(ans, &o) != nil || o.FencingToken == 0 || o.FencingToken < m.baton {
 			return
 		}
-		m.raise(o.Baton)
+		m.raise(o.FencingToken)
 		m.leased = max(m.leased, sent)
 		m.obey(o.Orders)
 	case 421:
@@ -263,7 +263,7 @@
 	}
 }
 
-func (m *Worker) raise(b protocol.Baton) {
+func (m *Worker) raise(b protocol.FencingToken) {
 	if b > m.baton {
 		m.baton = b
 		m.changed = true
@@ -272,10 +272,10 @@
 
 // Do carries out a direct command.
 func (m *Worker) Do(o protocol.Orders) (int, []byte) {
-	if o.Baton < m.baton || o.Shift != m.shift {
+	if o.FencingToken < m.baton || o.Session != m.shift {
 		return 409, m.body()
 	}
-	m.raise(o.Baton)
+	m.raise(o.FencingToken)
 	m.obey(o.Orders)
 	return 200, m.body()
 }
