A withdrawal that waits is told of once a second, not with every tick

Cause: controllers that had only read of an intent took it for news that had not been sent. TestHintsAreFew: 60 messages in 3 s before, at most 6 now.

--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -224,9 +224,10 @@
 		}
 		if !c.aware[id] {
 			c.aware[id] = c.allAware(id)
-			if _, sent := c.intentAt[id]; !sent && !c.aware[id] {
-				c.hintSoon = true
-			}
+			// Only who drives it tells of it: the others have nothing to send at once.
+			_, sent := c.intentAt[id]
+			_, driven := c.aborts[id]
+			c.hintSoon = c.hintSoon || driven && !sent && !c.aware[id]
 		}
 	}
 }
--- a/internal/coordination/withdraw_test.go
+++ b/internal/coordination/withdraw_test.go
@@ -197,3 +197,32 @@
 		t.Errorf("answered %d with the mirror as new", s)
 	}
 }
+
+// While a withdrawal waits for somebody who cannot be asked, the others are told of it once
+// a second, not with every tick, whether this controller drives it or has only read of it.
+func TestHintsAreFew(t *testing.T) {
+	for _, drives := range []bool{true, false} {
+		core, step := begin(t)
+		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
+		rec.Assign(protocol.Task{Job: "j-1"}, 5)
+		if _, err := core.mir.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 2); err != nil {
+			t.Fatal(err)
+		}
+		withdrawing(t, core, 2)
+		if drives {
+			core.wantAbort("j-1")
+		}
+		hints, intents := 0, 0
+		for range 60 { // 3 s
+			for _, e := range step(50*time.Millisecond, Tick{}) {
+				if h, ok := e.(SendHint); ok {
+					hints++
+					intents += len(h.Hint.Intents)
+				}
+			}
+		}
+		if hints > 6 || (intents > 0) != drives {
+			t.Errorf("drives %v: %d messages with %d intents in 3 s", drives, hints, intents)
+		}
+	}
+}
