--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -329,14 +328,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= seeds(); seed++ {
-				w := NewWorld(seed, 3, testFlavors, testTeams())
-				w.Rules.Limits["tight"] = 10
-				if os.Getenv("TRACE") != "" {
-					w.Trace = func(l string) { t.Log(l) }
-				}
-				for i := 0; i < 8; i++ {
-					w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
-				}
+				w := mixedWorld(t, seed)
 				submitMix(w, 24)
 				w.odd(s(10), s(105))
 				c.trouble(w)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -64,6 +64,20 @@
 	return 3
 }
 
+// mixedWorld is a deployment with eight small machines in two zones and a team that has
+// a limit.
+func mixedWorld(t *testing.T, seed uint64) *World {
+	w := NewWorld(seed, 3, testFlavors, testTeams())
+	w.Rules.Limits["tight"] = 10
+	if os.Getenv("TRACE") != "" {
+		w.Trace = func(l string) { t.Log(l) }
+	}
+	for i := 0; i < 8; i++ {
+		w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
+	}
+	return w
+}
+
 // Days of trouble, each with several seeds. Every rule must hold on each, and
 // once the trouble is over every job must come to its end.
 func TestDays(t *testing.T) {
@@ -233,14 +247,7 @@
 		t.Run(day.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= seeds(); seed++ {
-				w := NewWorld(seed, 3, testFlavors, testTeams())
-				w.Rules.Limits["tight"] = 10
-				if os.Getenv("TRACE") != "" {
-					w.Trace = func(l string) { t.Log(l) }
-				}
-				for i := 0; i < 8; i++ {
-					w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
-				}
+				w := mixedWorld(t, seed)
 				w.Drop = day.drop
 				ids := submitMix(w, 30)
 				day.trouble(w)
