--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"fmt"
 	"log/slog"
 	"sort"
 	"time"
@@ -10,22 +9,6 @@
 	"tillerarch/internal/protocol"
 )
 
-// poolKey names machines of one type, zone and kind: capacity runs out for each alone.
-type poolKey struct {
-	sku    protocol.Sku
-	yard   protocol.Zone
-	loaner bool
-}
-
-// hire is a rental under way.
-type hire struct {
-	req     protocol.Hire
-	at      protocol.Instant
-	out     bool // a request is on its way
-	tryAt   protocol.Instant
-	granted []protocol.MachineID // answered; their records are still to be written
-}
-
 // release is a machine on its way back to the cloud.
 type release struct {
 	tryAt    protocol.Instant
@@ -278,7 +261,7 @@
 		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.canAdd() || b.machines[id] != nil {
 			continue
 		}
-		if _, ok := c.released[id]; ok || !c.heir(string(id)) || c.hiring(id) {
+		if _, ok := c.released[id]; ok || !c.heir(string(id)) || c.rentals.granted(id) {
 			continue
 		}
 		b.add(id, &bk.MachineRecord{Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
@@ -287,42 +270,9 @@
 	}
 }
 
-func (c *Core) hiring(id protocol.MachineID) bool {
-	for _, h := range c.hires {
-		for _, g := range h.granted {
-			if g == id {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // writeCloud writes what rentals and releases need to be on record.
 func (c *Core) writeCloud(b *batch) {
-	for _, name := range sorted(c.hires) {
-		h := c.hires[name]
-		if h.granted == nil {
-			continue
-		}
-		missing := 0
-		for _, id := range h.granted {
-			if c.mir.Machines[id] != nil {
-				continue
-			}
-			if _, ok := c.released[id]; ok {
-				continue
-			}
-			missing++
-			if b.machines[id] == nil && b.canAdd() {
-				b.add(id, &bk.MachineRecord{Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners,
-					Since: c.now.Wall - protocol.Millis(c.since(h.at).Milliseconds())}, 0)
-			}
-		}
-		if missing == 0 {
-			delete(c.hires, name)
-		}
-	}
+	c.recordRentals(b)
 	for _, id := range c.leaving {
 		e := c.mir.Machines[id]
 		if m := c.machines[id]; m != nil && m.leave != "" && e != nil && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) && !b.gone(id) {
@@ -335,128 +285,3 @@
 	}
 	c.strangers(b)
 }
-
-// rent asks the cloud for what the claimed jobs need and no machine, up or
-// coming, can take.
-func (c *Core) rent() {
-	now := c.now.Steady
-	for _, name := range sorted(c.hires) {
-		h := c.hires[name]
-		if h.granted == nil && !h.out && now >= h.tryAt {
-			h.out = true
-			c.emit(SendHire{h.req})
-		}
-	}
-	if c.stateDown() || c.since(c.planned.at) > 2*time.Second {
-		return
-	}
-	sort.SliceStable(c.demand, func(i, k int) bool { return c.demand[i].order < c.demand[k].order })
-	open := map[poolKey]bool{}
-	for _, h := range c.hires {
-		open[poolKey{h.req.Build, h.req.Yard, h.req.Loaners}] = true
-	}
-	spots := 0
-	for _, e := range c.mir.Machines {
-		if e.Rec.Loaner {
-			spots++
-		}
-	}
-	for _, w := range c.demand {
-		if c.now.Wall-w.sent < 300 {
-			continue // it may be planned yet
-		}
-		left := w.pieces
-		for _, p := range c.pools(w) {
-			if left <= 0 {
-				break
-			}
-			if open[p.key] || c.since(c.noCapacity[p.key]) < c.cfg.NoCapacity && c.noCapacity[p.key] != 0 {
-				continue
-			}
-			n := min((left+p.per-1)/p.per, c.cfg.HireCap, protocol.MaxHire)
-			if p.key.loaner {
-				n = min(n, c.cfg.SpotCap-spots)
-			}
-			if n <= 0 {
-				continue
-			}
-			open[p.key] = true
-			c.hireSeq++
-			h := &hire{at: now, out: true, req: protocol.Hire{Hire: fmt.Sprintf("%s-%d", c.run, c.hireSeq), Build: p.key.sku, Yard: p.key.yard, Loaners: p.key.loaner, Count: n}}
-			c.hires[h.req.Hire] = h
-			c.log(slog.LevelInfo, "machines are rented", "hire", h.req.Hire, "type", string(p.key.sku), "zone", string(p.key.yard),
-				"spot", p.key.loaner, "count", n, "for", string(w.job))
-			c.emit(SendHire{h.req})
-			left -= n * p.per
-		}
-	}
-	c.demand = c.demand[:0]
-}
-
-type pool struct {
-	key  poolKey
-	per  int // tasks of the job on one machine
-	cost float64
-}
-
-// pools lists what could be rented for a job, cheapest per task first.
-func (c *Core) pools(w want) []pool {
-	var out []pool
-	for i := range c.flavors {
-		f := &c.flavors[i]
-		per := (&room{cores: f.Cores, accels: f.Accelerators, mem: f.MemGB}).fits(w.desc)
-		if per == 0 {
-			continue
-		}
-		for _, z := range f.Yards {
-			if !w.desc.Allowed(f.Sku, z) || w.zone != "" && z != w.zone {
-				continue
-			}
-			out = append(out, pool{poolKey{f.Sku, z, false}, per, f.Rate / float64(min(per, w.pieces))})
-			if t := c.spot[priceKey{f.Sku, z}]; c.spotFor(w.desc, f) && t != nil && t.Open() {
-				out = append(out, pool{poolKey{f.Sku, z, true}, per, f.LowPrice / float64(min(per, w.pieces))})
-			}
-		}
-	}
-	sort.SliceStable(out, func(i, k int) bool {
-		a, z := out[i], out[k]
-		if a.cost != z.cost {
-			return a.cost < z.cost
-		}
-		// Controllers differ in the zone that they try first.
-		return weight(string(c.cfg.Member), string(a.key.yard)) > weight(string(c.cfg.Member), string(z.key.yard))
-	})
-	return out
-}
-
-func (c *Core) onHire(v HireResult) {
-	h := c.hires[v.Hire.Hire]
-	if h == nil {
-		return
-	}
-	h.out = false
-	k := poolKey{v.Hire.Build, v.Hire.Yard, v.Hire.Loaners}
-	switch {
-	case v.NoCapacity:
-		c.noCapacity[k] = c.now.Steady
-		delete(c.hires, v.Hire.Hire)
-		c.log(slog.LevelInfo, "cloud has no capacity", "type", string(k.sku), "zone", string(k.yard), "spot", k.loaner)
-	case v.Invalid:
-		c.noCapacity[k] = c.now.Steady
-		delete(c.hires, v.Hire.Hire)
-		c.log(slog.LevelError, "cloud calls the rental malformed", "hire", v.Hire.Hire)
-	case v.Err != nil:
-		// It may have been carried out: the same name is asked again.
-		h.tryAt = c.now.Steady.Add(c.jitter(time.Second))
-		c.log(slog.LevelWarn, "rental without answer is repeated", "hire", v.Hire.Hire, "err", v.Err.Error())
-	default:
-		if len(v.Stalls) < v.Hire.Count {
-			c.noCapacity[k] = c.now.Steady
-		}
-		h.granted = v.Stalls
-		if len(v.Stalls) == 0 {
-			delete(c.hires, v.Hire.Hire)
-		}
-		c.log(slog.LevelInfo, "machines come", "hire", v.Hire.Hire, "machines", len(v.Stalls), "asked", v.Hire.Count)
-	}
-}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -103,9 +103,7 @@
 	flavors    []protocol.Flavor
 	flavorOut  bool
 	flavorAt   protocol.Instant
-	hires      map[string]*hire
-	hireSeq    int
-	noCapacity map[poolKey]protocol.Instant
+	rentals    rentals
 	releasing  map[protocol.MachineID]*release
 	releaseOut bool
 	listOut    bool
@@ -115,7 +113,7 @@
 	listed     map[protocol.MachineID]*listing
 	released   map[protocol.MachineID]protocol.Instant
 	spot       map[priceKey]*Threshold
-	demand     []want
+	demand     []unmetDemand
 
 	peers      map[protocol.Member]peer
 	strayed    map[protocol.MachineID]stray // reported here though another run owns them
@@ -165,7 +163,7 @@
 		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
 		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]protocol.Instant{},
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
-		hires: map[string]*hire{}, noCapacity: map[poolKey]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
+		rentals: newRentals(), releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
 		told: map[protocol.JobID]told{}, acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{},
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -220,7 +220,7 @@
 	got := c.roomKept(q, rooms, n)
 	if got == nil && q.aged {
 		if c.reserve(b, q, rooms, zones, n) && ours {
-			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+			c.demand = append(c.demand, unmetDemand{q.id, d, n, d.Yard, q.order, q.rec.Sent})
 		}
 		if c.planned.reserved[q.order] {
 			return
@@ -234,7 +234,7 @@
 			got = nil
 		}
 		if got == nil {
-			c.demand = append(c.demand, want{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+			c.demand = append(c.demand, unmetDemand{q.id, d, n, d.Yard, q.order, q.rec.Sent})
 		} else if b.hasRoom(b.needs("", q.id)) {
 			b.writeRoom(q.id, got, "room is made for a gang")
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -12,16 +12,6 @@
 	"tillerarch/internal/protocol"
 )
 
-// want is demand that no machine, up or coming, can take.
-type want struct {
-	job    protocol.JobID
-	desc   *protocol.Job
-	pieces int
-	zone   protocol.Zone // the only one it may be in, if not empty
-	order  int
-	sent   protocol.Millis
-}
-
 // plan is what the last pass of the planner found.
 type plan struct {
 	at       protocol.Instant
@@ -363,7 +353,7 @@
 	}
 	if q.rec.Claim == c.run && most == protocol.MaxPieces {
 		if n := min(left, limit); n > 0 {
-			c.demand = append(c.demand, want{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
+			c.demand = append(c.demand, unmetDemand{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
 		}
 	}
 }
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -119,23 +119,30 @@
 		}
 		out = append(out, r)
 	}
-	for _, h := range c.hires {
-		fl := c.flavor(h.req.Build)
+	return append(out, c.roomsToCome()...)
+}
+
+// roomsToCome lists the machines of rental requests that are on no record yet.
+func (c *Core) roomsToCome() []*room {
+	var out []*room
+	for _, name := range sorted(c.rentals.requests) {
+		r := c.rentals.requests[name]
+		fl := c.flavor(r.request.Build)
 		if fl == nil {
 			continue
 		}
-		n := h.req.Count
-		if h.granted != nil {
+		n := r.request.Count
+		if r.machines != nil {
 			n = 0
-			for _, id := range h.granted {
+			for _, id := range r.machines {
 				if c.mir.Machines[id] == nil {
 					n++
 				}
 			}
 		}
-		for i := 0; i < n; i++ {
-			out = append(out, &room{id: protocol.MachineID("~" + h.req.Hire), coming: true, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB,
-				rec: &bk.MachineRecord{Build: h.req.Build, Yard: h.req.Yard, Loaner: h.req.Loaners}})
+		for range n {
+			out = append(out, &room{id: protocol.MachineID("~" + name), coming: true, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB,
+				rec: &bk.MachineRecord{Build: r.request.Build, Yard: r.request.Yard, Loaner: r.request.Loaners}})
 		}
 	}
 	return out
