Machines are rented and kept for urgent work; what can wait follows what runs

Idle machines were kept for the next burst though two of three classes may wait longer than a boot takes; steady machines at 2.4 to 2.7 times the price were rented while spot ones were on their way, and because 500 spot machines were the most of 1,251; small tasks of high rank filled the machines that only large tasks need.

Now: tasks with slack wait for machines whose tasks end in time (forecast.go); idle machines are kept long for urgent work only (warmpool.go); work that is not urgent takes dearer pools only when the cheapest has none, and leaves machine types to those that fit no other (contention.go); tasks that have to begin before the next report make their machine report at once.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -204,7 +204,11 @@
 		}
 		again += sum / float64(len(m.images)) / fl.FetchGBPerS
 	}
-	return time.Duration(again * c.cfg.IdleFactor * float64(time.Second))
+	factor := c.cfg.IdleFactor
+	if !c.warm.needs(m.id) {
+		factor *= surplusShare
+	}
+	return time.Duration(again * factor * float64(time.Second))
 }
 
 func (c *Core) liveTasks(m *mstate) bool {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -114,6 +114,8 @@
 	released   map[protocol.MachineID]protocol.Instant
 	spot       map[priceKey]*Threshold
 	demand     []unmetDemand
+	warm       warmPool
+	waitedFor  map[protocol.Sku]protocol.Instant // when tasks last found no machine of a type
 
 	peers      map[protocol.Member]peer
 	strayed    map[protocol.MachineID]stray // reported here though another run owns them
@@ -163,7 +165,7 @@
 		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
 		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]protocol.Instant{},
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
-		rentals: newRentals(), releasing: map[protocol.MachineID]*release{},
+		rentals: newRentals(), warm: newWarmPool(), waitedFor: map[protocol.Sku]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
 		told: map[protocol.JobID]told{}, acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{},
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -220,7 +220,7 @@
 	got := c.roomKept(q, rooms, n)
 	if got == nil && q.aged {
 		if c.reserve(b, q, rooms, zones, n) && ours {
-			c.demand = append(c.demand, unmetDemand{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Yard, order: q.order, sent: q.rec.Sent, urgent: true})
 		}
 		if c.planned.reserved[q.order] {
 			return
@@ -234,7 +234,7 @@
 			got = nil
 		}
 		if got == nil {
-			c.demand = append(c.demand, unmetDemand{q.id, d, n, d.Yard, q.order, q.rec.Sent})
+			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Yard, order: q.order, sent: q.rec.Sent, urgent: true})
 		} else if b.hasRoom(b.needs("", q.id)) {
 			b.writeRoom(q.id, got, "room is made for a gang")
 		}
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -254,7 +254,7 @@
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 500, SpotLoss: 4, HireCap: 50, BalanceGap: 3 * time.Second, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 5000, SpotLoss: 4, HireCap: 50, BalanceGap: 3 * time.Second, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -10,17 +10,22 @@
 
 // task of a job in the planner's order.
 type queued struct {
-	id     protocol.JobID
-	rec    *bk.JobRecord
-	order  int
-	turn   int // the order in which it is served: that of its rank, or a better one
-	due    protocol.Millis
-	late   bool
-	zones  map[protocol.Zone]int
-	placed int
-	done   int
-	aged   bool // has waited so long without beginning that it goes before all others
-	old    bool // has been here so long that a part of the fleet goes to it first
+	id    protocol.JobID
+	rec   *bk.JobRecord
+	order int
+	turn  int // the order in which it is served: that of its rank, or a better one
+	due   protocol.Millis
+	late  bool
+	// The latest begin of its tasks that meets all aims that can still be met, and the
+	// same as it was at the submission.
+	startBy protocol.Millis
+	beginBy protocol.Millis
+	leaves  map[protocol.Sku]bool // machine types that it leaves to others
+	zones   map[protocol.Zone]int
+	placed  int
+	done    int
+	aged    bool // has waited so long without beginning that it goes before all others
+	old     bool // has been here so long that a part of the fleet goes to it first
 }
 
 // order ranks jobs: a smaller one goes first and may take the place of a
@@ -96,6 +101,10 @@
 	return out
 }
 
+// leadMargin is how many times the least time that a job's tasks may run is set
+// aside for them where a late end would miss an aim.
+const leadMargin = 3
+
 // urgency tells by when a job is to be served: the first of its class's aims, and
 // of its deadline, that can still be met. What has missed all of them goes last
 // within its rank. A job of low rank whose tasks should begin soon is served like
@@ -104,8 +113,14 @@
 	d, sent := q.rec.Desc, q.rec.Sent
 	aims := c.cfg.Aims[d.Lane]
 	q.due, q.late = sent+protocol.Millis(600_000), true
+	q.startBy, q.beginBy = q.due, q.due
 	reach := func(within, lead time.Duration) {
 		due := sent + protocol.Millis(within.Milliseconds())
+		start := due - leadMargin*protocol.Millis(lead.Milliseconds())
+		q.beginBy = min(q.beginBy, start)
+		if c.now.Wall < start {
+			q.startBy = min(q.startBy, start)
+		}
 		if c.now.Wall+protocol.Millis(lead.Milliseconds()) <= due && (q.late || due < q.due) {
 			q.due, q.late = due, false
 		}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -14,12 +14,13 @@
 
 // plan is what the last pass of the planner found.
 type plan struct {
-	at       protocol.Instant
-	busy     map[protocol.MachineID]bool // machines that the plan wants to keep
-	abroad   bool                        // tasks of own jobs wait to be written to others' pages
-	expects  map[protocol.MachineID]bool // those on which it has tasks that are not written yet
-	free     []*room                     // machines that may still take something
-	reserved map[int]bool                // orders in which a job waits for machines to empty
+	at        protocol.Instant
+	busy      map[protocol.MachineID]bool // machines that the plan wants to keep
+	abroad    bool                        // tasks of own jobs wait to be written to others' pages
+	expects   map[protocol.MachineID]bool // those on which it has tasks that are not written yet
+	free      []*room                     // machines that may still take something
+	contended map[protocol.Sku]bool       // machine types that tasks have waited for of late
+	reserved  map[int]bool                // orders in which a job waits for machines to empty
 }
 
 func (c *Core) nextPlan() protocol.Instant { return c.planned.at.Add(c.cfg.FlushGap) }
@@ -91,6 +92,9 @@
 	c.planned.reserved = map[int]bool{}
 	c.planned.free = slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.closed })
 	queue := c.queue(b, rooms)
+	c.warm.observe(c.now.Steady, queue, c.urgent)
+	c.warm.choose(rooms, c.mayUse)
+	c.planned.contended = c.contended()
 	c.placeOld(b, queue, rooms)
 	for len(queue) > 0 {
 		n := 1
@@ -242,7 +246,7 @@
 			continue // full by now, for all that come later
 		}
 		left = append(left, r)
-		if (!home || r.rec.Owner == q.rec.Claim) && r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
+		if !q.leaves[r.rec.Build] && (!home || r.rec.Owner == q.rec.Claim) && r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
 			out = append(out, scored{r, c.score(b, q, r)})
 		}
 	}
@@ -318,6 +322,9 @@
 		open = c.openTasks(b, q, limit)
 		limit = min(limit, len(open))
 	}
+	if q.leaves == nil {
+		q.leaves = c.leaves(q)
+	}
 	for _, r := range c.candidates(b, q, home) {
 		if limit <= 0 {
 			break
@@ -332,6 +339,9 @@
 			b.assign(r.id, q.id, open[:n], try)
 			open = open[n:]
 			c.placed(b, q, r, n, try)
+			if c.pressing(q) && c.waitsForReport(r) {
+				c.hurry(b, r.id)
+			}
 		} else {
 			if ours {
 				open = open[n:]
@@ -351,13 +361,38 @@
 		// Its tasks fit into no gap that others leave: some machines are emptied.
 		c.reserve(b, q, rooms, []protocol.Zone{""}, min(limit, 4))
 	}
-	if q.rec.Claim == c.run && most == protocol.MaxPieces {
-		if n := min(left, limit); n > 0 {
-			c.demand = append(c.demand, unmetDemand{q.id, d, n, q.onlyZone(), q.order, q.rec.Sent})
-		}
+	if n := min(left, limit); n > 0 && most == protocol.MaxPieces {
+		c.unplaced(q, rooms, n)
+	}
+}
+
+// unplaced takes in that n tasks of an array have found no machine. What can wait for
+// machines in use does so; the rest is demand.
+func (c *Core) unplaced(q *queued, rooms []*room, n int) {
+	c.noteContention(q)
+	urgent := c.urgent(q)
+	if !urgent {
+		n -= c.tasksToFollow(q, rooms, n)
+	}
+	if n > 0 && q.rec.Claim == c.run {
+		c.demand = append(c.demand, unmetDemand{job: q.id, desc: q.rec.Desc, tasks: n, zone: q.onlyZone(), order: q.order,
+			sent: q.rec.Sent, urgent: urgent})
 	}
 }
 
+// pressing tells whether a job's tasks have to begin sooner than all machines report
+// by themselves.
+func (c *Core) pressing(q *queued) bool {
+	return !q.late && millis(q.startBy-c.now.Wall) < 2*c.cfg.Report
+}
+
+// waitsForReport tells whether what is written to a machine goes out with its next
+// report only: none of it waits for an answer here.
+func (c *Core) waitsForReport(r *room) bool {
+	m := c.machines[r.id]
+	return r.rec.Owner == c.run && m != nil && m.held == 0
+}
+
 // onlyZone is the zone that the job is bound to by its other tasks.
 func (q *queued) onlyZone() protocol.Zone {
 	if q.rec.Desc.Together {
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -70,12 +70,19 @@
 	zone  protocol.Zone // the only one it may be in, if not empty
 	order int
 	sent  protocol.Millis
+	// All pools are asked for it at once; else dearer ones only where cheaper ones have
+	// no machines.
+	urgent bool
 }
 
 // plannedSoon is the age from which a job's unmet demand counts: a younger one may
 // not have been planned by its claimant yet.
 const plannedSoon protocol.Millis = 300
 
+// dearerPool is how many times as dear as the cheapest pool another one may be that is
+// asked beside it for work that is not urgent.
+const dearerPool = 1.05
+
 // planFresh is the age up to which a plan may be acted on.
 const planFresh = 2 * time.Second
 
@@ -121,11 +128,18 @@
 // rentFor sends the requests for one job's demand, at most one at a time to a pool.
 func (c *Core) rentFor(d unmetDemand, pending map[poolKey]bool, spots int) {
 	left := d.tasks
+	cheapest := 0.0
 	for _, p := range c.pools(d) {
-		if left <= 0 {
+		if c.exhausted(p.key) {
+			continue
+		}
+		if cheapest == 0 {
+			cheapest = p.cost
+		}
+		if left <= 0 || !d.urgent && p.cost > cheapest*dearerPool {
 			return
 		}
-		if pending[p.key] || c.exhausted(p.key) {
+		if pending[p.key] {
 			continue
 		}
 		n := min((left+p.per-1)/p.per, c.cfg.HireCap, protocol.MaxHire)
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -22,6 +22,8 @@
 	accels float64
 	mem    float64
 	used   []held
+	// What tasks are to take that follow those which run there.
+	followers struct{ cores, accels, mem float64 }
 }
 
 // held is what a job has on a machine.
