--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -358,17 +358,25 @@
 	} else if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
 		return true
 	}
+	// If another one reaches the state service, it is this node alone that is cut off. A
+	// node that hears neither the state service nor any other node must take it that it
+	// is the one that is cut off: users do better elsewhere.
+	return c.peersLackState(3 * time.Second)
+}
+
+// peersLackState tells whether other controllers have been heard of within a time, and
+// all of those say that they do not reach the state service.
+func (c *Core) peersLackState(within time.Duration) bool {
 	heard := c.cfg.Peers == 0
 	for _, p := range c.peers {
-		if c.since(p.at) < 3*time.Second {
-			heard = true
-			if p.hint.StateOK {
-				return false // it is this node alone that is cut off
-			}
+		if c.since(p.at) >= within {
+			continue
+		}
+		if p.hint.StateOK {
+			return false
 		}
+		heard = true
 	}
-	// A node that hears neither the state service nor any other node must take
-	// it that it is the one that is cut off: users do better elsewhere.
 	return heard
 }
 
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -391,13 +391,17 @@
 
 // silent tells whether a worker has missed several reports.
 func (c *Core) silent(m *mstate) bool {
-	return m.held == 0 && c.unheard(m) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
+	return m.held == 0 && c.unheard(m) > c.severalReports()
 }
 
+// severalReports is the time in which several reports must have come from a worker that
+// reaches this node.
+func (c *Core) severalReports() time.Duration { return 2*c.cfg.Report + c.cfg.Report/2 + time.Second }
+
 // mute tells whether no report has come from a worker for a while, whatever it says when
 // it is asked: starts go out in answers to reports only, so what is placed there waits.
 func (c *Core) mute(m *mstate) bool {
-	return m.held == 0 && c.since(max(m.reportedAt, c.wokeAt)) > 2*c.cfg.Report+c.cfg.Report/2+time.Second
+	return m.held == 0 && c.since(max(m.reportedAt, c.wokeAt)) > c.severalReports()
 }
 
 // unheard is for how long nothing has come from a worker while this process could
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -82,16 +82,25 @@
 	if m.proven(&e.Rec) == nil {
 		return false
 	}
-	all := true
 	for a := range e.Rec.Of(job) {
-		a.Pieces.Each(func(n int) bool {
-			t := protocol.Task{Job: job, Piece: n}
-			_, sent := m.inflight[t]
-			p := m.byTask[t]
-			all = !sent && (p == nil || p.Stage != protocol.Fetching)
-			return all
-		})
+		if !m.each(a, func(p *protocol.TaskReport) bool { return p.Stage != protocol.Fetching }) {
+			return false
+		}
 	}
+	return true
+}
+
+// each tells whether no start of the assigned tasks is in flight, and the newest report
+// either lacks each of them or shows it as it should be.
+func (m *mstate) each(a *bk.Assigned, ok func(*protocol.TaskReport) bool) bool {
+	all := true
+	a.Pieces.Each(func(n int) bool {
+		t := protocol.Task{Job: a.Job, Piece: n}
+		_, sent := m.inflight[t]
+		p := m.byTask[t]
+		all = !sent && (p == nil || ok(p))
+		return all
+	})
 	return all
 }
 
@@ -293,16 +302,7 @@
 		if !c.calledOff(a.Job) {
 			continue
 		}
-		gone := known
-		if known {
-			a.Pieces.Each(func(n int) bool {
-				t := protocol.Task{Job: a.Job, Piece: n}
-				_, sent := m.inflight[t]
-				p := m.byTask[t]
-				gone = !sent && (p == nil || p.Stage == protocol.Ended)
-				return gone
-			})
-		}
+		gone := known && m.each(a, func(p *protocol.TaskReport) bool { return p.Stage == protocol.Ended })
 		if !gone {
 			longest, holds = max(longest, c.calledOffFor(a.Job)), true
 		}
@@ -322,19 +322,7 @@
 // outForAll tells whether the state service is down, and not for this controller alone
 // as far as the others say.
 func (c *Core) outForAll() bool {
-	if !c.stateDown() {
-		return false
-	}
-	heard := c.cfg.Peers == 0
-	for _, p := range c.peers {
-		if c.since(p.at) < 5*time.Second {
-			heard = true
-			if p.hint.StateOK {
-				return false
-			}
-		}
-	}
-	return heard
+	return c.stateDown() && c.peersLackState(5*time.Second)
 }
 
 // returnUnmarked sends a machine back with no mark on record: while the state service
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -29,6 +29,22 @@
 	})
 }
 
+// holdCommand carries a direct command out seconds late, whatever its sender has
+// become meanwhile; nobody answers it.
+func (n *Node) holdCommand(v coordination.SendDo) {
+	w, life := n.w, n.life
+	w.At(time.Duration(2000+w.Rng.IntN(14000))*time.Millisecond, func() {
+		if m := w.Workers[v.Machine]; m != nil && !m.Gone {
+			m.Do(v.Orders)
+		}
+	})
+	w.At(2*time.Second, func() {
+		if n.Alive && n.life == life {
+			n.step(coordination.DoResult{Machine: v.Machine, Err: errLost})
+		}
+	})
+}
+
 // state sends something to the state service, which may be cut off, refuse this
 // controller alone, be slow, or carry a transaction out late.
 func (n *Node) state(wait time.Duration, do func() coordination.Input, lost, refused coordination.Input) {
@@ -47,6 +63,16 @@
 		})
 		return
 	}
+	if _, commits := lost.(coordination.CommitResult); commits && w.Unheard > 0 && w.Rng.Float64() < w.Unheard {
+		life := n.life
+		w.At(w.delay(), func() { do() })
+		w.At(wait, func() {
+			if n.Alive && n.life == life {
+				n.step(lost)
+			}
+		})
+		return
+	}
 	if w.Slow > 0 {
 		life, d := n.life, time.Duration(w.Rng.Int64N(int64(w.Slow)))
 		w.At(d, func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -74,6 +74,8 @@
 	Zone     map[protocol.Zone]*Node // zones that are cut off, with the controller in them
 	Drop     float64                 // part of the messages that are lost or held up
 	Late     float64                 // part of the transactions that get no answer and are carried out 2 to 12 s later
+	Unheard  float64                 // part of the transactions that are carried out at once and whose answers are lost
+	Held     float64                 // part of the direct commands that get no answer and are carried out once, 2 to 16 s late
 	Slow     time.Duration           // by which the state service answers later
 	Fetch    time.Duration           // what an image takes
 	Lag      time.Duration           // most by which messages take longer
@@ -313,6 +315,10 @@
 			return coordination.DoResult{Machine: v.Machine, Report: r, Err: err}
 		}, coordination.DoResult{Machine: v.Machine, Err: errLost})
 	case coordination.SendDo:
+		if w.Held > 0 && w.Rng.Float64() < w.Held {
+			n.holdCommand(v)
+			return
+		}
 		n.call(n.NoWorker, 2*time.Second, func() coordination.Input {
 			m := w.Workers[v.Machine]
 			if m == nil || w.apart(n, m) || m.Gone || m.Deaf {
