--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -24,7 +24,7 @@
 	stateWait   = 1500 * time.Millisecond
 	cloudWait   = 10 * time.Second
 	workerWait  = 2 * time.Second
-	followWait  = 3 * time.Second // below hold.ttl: the mirror's age tells whether it may be acted on
+	followWait  = 3 * time.Second // below hold.ttl: the replica's age tells whether it may be acted on
 	queueLength = 1024
 	cloudShare  = 0.6
 )
@@ -130,10 +130,10 @@
 			d.server.Reply(x, 503, 0, []byte(`{"error":"not ready"}`))
 		}
 		return
-	case protocol.PathBeat:
+	case protocol.PathReport:
 		if r.Method != "POST" {
 			d.refuse(x, 405, "method not allowed")
-		} else if !d.offer(message{coordination.BeatInput{Body: r.Body}, x}) {
+		} else if !d.offer(message{coordination.ReportInput{Body: r.Body}, x}) {
 			d.refuse(x, 503, "overloaded")
 		}
 		return
@@ -169,7 +169,7 @@
 			case coordination.UserInput:
 				v.Req = d.nextReq
 				m.in = v
-			case coordination.BeatInput:
+			case coordination.ReportInput:
 				v.Req = d.nextReq
 				m.in = v
 			}
@@ -229,7 +229,7 @@
 			f, err = protocol.ParseFlavors(body)
 		}
 		d.tell(coordination.FlavorsResult{Flavors: f, Err: err})
-	case coordination.SendHire:
+	case coordination.SendRental:
 		d.tell(d.hire(v.Hire))
 	case coordination.SendRelease:
 		_, err := d.ask("POST", protocol.PathRelease, protocol.Stalls{Stalls: v.Stalls})
@@ -265,8 +265,8 @@
 	return a.Body, nil
 }
 
-func (d *daemon) hire(h protocol.Hire) coordination.HireResult {
-	r := coordination.HireResult{Hire: h}
+func (d *daemon) hire(h protocol.Hire) coordination.RentalResult {
+	r := coordination.RentalResult{Hire: h}
 	a, err := d.cloud.Call("POST", protocol.PathHosts, protocol.Encode(h), cloudWait)
 	if err != nil {
 		r.Err = err
--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -202,14 +202,14 @@
 		return err
 	}
 	dur := map[string]*time.Duration{
-		"hold.ttl": &t.HoldTTL, "flush.gap": &t.FlushGap, "beat.hold": &t.BeatHold, "idle.hold": &t.IdleHold, "user.wait": &t.UserWait,
+		"hold.ttl": &t.HoldTTL, "flush.gap": &t.FlushGap, "beat.hold": &t.ReportHold, "idle.hold": &t.IdleHold, "user.wait": &t.UserWait,
 		"paid.minimum": &t.MinPaid, "boot.extra": &t.BootExtra, "silent.return": &t.SilentReturn,
 		"spot.window": &t.SpotWindow, "spot.period": &t.SpotPeriod, "spot.margin": &t.SpotMargin, "spot.check": &t.SpotCheck,
 		"capacity.pause": &t.NoCapacity, "list.every": &t.ListEvery, "list.silent": &t.ListSilent,
 		"age.after": &t.AgeAfter, "balance.gap": &t.BalanceGap,
 	}
 	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss, "idle.factor": &t.IdleFactor}
-	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.HireCap}
+	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.RentalCap}
 	for _, k := range p.Keys() {
 		v, _ := p.Get(k)
 		var err error
--- a/internal/bookkeeping/ranges.go
+++ b/internal/bookkeeping/ranges.go
@@ -1,5 +1,5 @@
 // Package bookkeeping keeps what must outlive a process: the records in the
-// state service, the client that reads and writes them, and their mirror.
+// state service, the client that reads and writes them, and their replica.
 package bookkeeping
 
 import (
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -10,7 +10,7 @@
 )
 
 // Prefix of all keys. One prefix, so that one /follow sees every change and
-// the mirror's revision can reach the service's.
+// the replica's revision can reach the service's.
 const (
 	Prefix       = "t/"
 	jobPrefix    = Prefix + "j/"
--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/replica.go
@@ -17,14 +17,14 @@
 	Size  int // of its written form
 }
 
-// Machine is a machine's record as the mirror has it.
+// Machine is a machine's record as the replica has it.
 type Machine struct {
 	ID   protocol.MachineID
 	Rec  MachineRecord
 	line string // its written form: a machine whose line stays is not read again
 }
 
-// Page is a page of machines as the mirror has it.
+// Page is a page of machines as the replica has it.
 type Page struct {
 	Owner    Run
 	Epoch    Epoch
@@ -35,10 +35,10 @@
 	Done     map[protocol.JobID]Ranges
 }
 
-// Mirror is a copy of all records, complete up to Rev; own writes may be newer.
+// Replica is a copy of all records, complete up to Rev; own writes may be newer.
 // What is asked often is kept as an index: nothing here walks the whole fleet
 // for one job or one machine.
-type Mirror struct {
+type Replica struct {
 	Rev         protocol.Rev
 	Jobs        map[protocol.JobID]*Entry[JobRecord]
 	Pages       map[PageID]*Page
@@ -62,9 +62,9 @@
 	gone map[string]protocol.Stamp // deleted keys, for changes that come late
 }
 
-// NewMirror makes an empty mirror.
-func NewMirror() *Mirror {
-	return &Mirror{
+// NewReplica makes an empty replica.
+func NewReplica() *Replica {
+	return &Replica{
 		Jobs:        map[protocol.JobID]*Entry[JobRecord]{},
 		Open:        map[protocol.JobID]*Entry[JobRecord]{},
 		Withdrawing: map[protocol.JobID]*Entry[JobRecord]{},
@@ -79,8 +79,8 @@
 	}
 }
 
-// Stamp is the stamp of a key as far as the mirror knows: 0 for none.
-func (m *Mirror) Stamp(key string) protocol.Stamp {
+// Stamp is the stamp of a key as far as the replica knows: 0 for none.
+func (m *Replica) Stamp(key string) protocol.Stamp {
 	switch {
 	case strings.HasPrefix(key, jobPrefix):
 		return stampOf(m.Jobs, protocol.JobID(key[len(jobPrefix):]))
@@ -114,9 +114,9 @@
 	return nil
 }
 
-// Put takes in a key's value unless the mirror has a newer one. fresh tells
+// Put takes in a key's value unless the replica has a newer one. fresh tells
 // whether it did.
-func (m *Mirror) Put(key string, data json.RawMessage, stamp protocol.Stamp) (fresh bool, err error) {
+func (m *Replica) Put(key string, data json.RawMessage, stamp protocol.Stamp) (fresh bool, err error) {
 	if stamp <= m.Stamp(key) || stamp <= m.gone[key] {
 		return false, nil
 	}
@@ -149,7 +149,7 @@
 	return true, nil
 }
 
-func (m *Mirror) putPage(id PageID, data json.RawMessage, stamp protocol.Stamp) error {
+func (m *Replica) putPage(id PageID, data json.RawMessage, stamp protocol.Stamp) error {
 	var f pageForm
 	if err := json.Unmarshal(data, &f); err != nil {
 		return err
@@ -190,7 +190,7 @@
 }
 
 // setDone keeps the index of what pages know to be done.
-func (m *Mirror) setDone(id PageID, old, now *Page) {
+func (m *Replica) setDone(id PageID, old, now *Page) {
 	if old != nil {
 		for j := range old.Done {
 			delete(m.done, j)
@@ -213,7 +213,7 @@
 
 // Done gives the tasks of a job that are done: those in its own record, and
 // those that are on pages only.
-func (m *Mirror) Done(id protocol.JobID) Ranges {
+func (m *Replica) Done(id protocol.JobID) Ranges {
 	if r, ok := m.done[id]; ok {
 		return r
 	}
@@ -229,7 +229,7 @@
 }
 
 // strike takes out the machines that a page no longer has.
-func (m *Mirror) strike(id PageID, old, now *Page) {
+func (m *Replica) strike(id PageID, old, now *Page) {
 	for _, mid := range old.Machines {
 		if e := m.Machines[mid]; e != nil && e.Rec.Page == id && (now == nil || !slices.Contains(now.Machines, mid)) {
 			m.set(mid, nil, "")
@@ -239,7 +239,7 @@
 }
 
 // set changes a machine's record and the indexes that rest on it.
-func (m *Mirror) set(id protocol.MachineID, r *MachineRecord, line string) {
+func (m *Replica) set(id protocol.MachineID, r *MachineRecord, line string) {
 	e := m.Machines[id]
 	same := e != nil && r != nil && e.line == line
 	if !same {
@@ -281,7 +281,7 @@
 }
 
 // Delete takes in a key's removal.
-func (m *Mirror) Delete(key string, stamp protocol.Stamp) {
+func (m *Replica) Delete(key string, stamp protocol.Stamp) {
 	if stamp <= m.Stamp(key) {
 		return
 	}
@@ -307,14 +307,14 @@
 // Lost lists, once, the machines that have left the records. It is asked when
 // all changes of a transaction are in: a machine that only moves from one page
 // to another has not left.
-func (m *Mirror) Lost() []protocol.MachineID {
+func (m *Replica) Lost() []protocol.MachineID {
 	out := slices.DeleteFunc(m.lost, func(id protocol.MachineID) bool { return m.Machines[id] != nil })
 	m.lost = nil
 	return out
 }
 
 // List gives all machines in the order of their names. It is not to be changed.
-func (m *Mirror) List() []*Machine {
+func (m *Replica) List() []*Machine {
 	if m.list == nil {
 		m.list = slices.SortedFunc(maps.Values(m.Machines), func(a, z *Machine) int { return strings.Compare(string(a.ID), string(z.ID)) })
 	}
@@ -322,7 +322,7 @@
 }
 
 // Line is a machine's written form as it is on record.
-func (m *Mirror) Line(id protocol.MachineID) string {
+func (m *Replica) Line(id protocol.MachineID) string {
 	if e := m.Machines[id]; e != nil {
 		return e.line
 	}
@@ -330,10 +330,10 @@
 }
 
 // On gives the machines on which a job has assignments.
-func (m *Mirror) On(j protocol.JobID) map[protocol.MachineID]bool { return m.on[j] }
+func (m *Replica) On(j protocol.JobID) map[protocol.MachineID]bool { return m.on[j] }
 
 // Alive tells whether a run is the living one of its member.
-func (m *Mirror) Alive(r Run) bool {
+func (m *Replica) Alive(r Run) bool {
 	e := m.Members[r.Member()]
 	return r != "" && e != nil && e.Rec.Run == r
 }
--- a/internal/bookkeeping/mirror_test.go
+++ b/internal/bookkeeping/replica_test.go
@@ -49,8 +49,8 @@
 
 // The indexes follow whatever happens to pages: machines that move, are taken
 // over or leave, and tasks that are done.
-func TestMirrorPages(t *testing.T) {
-	m := NewMirror()
+func TestReplicaPages(t *testing.T) {
+	m := NewReplica()
 	changes := 0
 	m.Changed = func(protocol.MachineID, *MachineRecord, *MachineRecord) { changes++ }
 	put := func(key string, data []byte, stamp protocol.Stamp) {
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -12,7 +12,7 @@
 )
 
 // batch collects changes for one transaction. Every change rests on the stamps
-// that the mirror has; the service refuses it if one of them has moved on.
+// that the replica has; the service refuses it if one of them has moved on.
 type batch struct {
 	c        *Core
 	room     int // puts and deletes still allowed
@@ -45,8 +45,8 @@
 		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, done: map[protocol.JobID]bk.Ranges{}}
 }
 
-// on makes the transaction depend on a key as the mirror has it.
-func (b *batch) on(key string) { b.when[key] = b.c.mir.Stamp(key) }
+// on makes the transaction depend on a key as the replica has it.
+func (b *batch) on(key string) { b.when[key] = b.c.replica.Stamp(key) }
 
 func (b *batch) open(key string, size int) {
 	b.on(key)
@@ -69,7 +69,7 @@
 	if r := b.jobs[id]; r != nil {
 		return r
 	}
-	e := b.c.mir.Jobs[id]
+	e := b.c.replica.Jobs[id]
 	r := e.Rec
 	b.open(bk.JobKey(id), e.Size+200)
 	b.jobs[id] = &r
@@ -81,10 +81,10 @@
 	if d := b.pages[id]; d != nil {
 		return d
 	}
-	p := b.c.mir.Pages[id]
+	p := b.c.replica.Pages[id]
 	d := &draft{owner: p.Owner, epoch: p.Epoch, ids: p.Machines, size: p.Size, done: map[protocol.JobID]bk.Ranges{}}
 	for j, r := range p.Done {
-		if e := b.c.mir.Jobs[j]; e == nil || !e.Rec.Stage.Final() {
+		if e := b.c.replica.Jobs[j]; e == nil || !e.Rec.Stage.Final() {
 			d.done[j] = r
 		}
 	}
@@ -107,7 +107,7 @@
 	if r := b.machines[id]; r != nil {
 		return r
 	}
-	r := b.c.mir.Machines[id].Rec.Clone()
+	r := b.c.replica.Machines[id].Rec.Clone()
 	b.page(r.Page)
 	b.machines[id] = r
 	return r
@@ -136,7 +136,7 @@
 	}
 	if page == "" {
 		for _, p := range b.c.ownPages() {
-			e := b.c.mir.Pages[p]
+			e := b.c.replica.Pages[p]
 			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, epoch: e.Epoch, ids: e.Machines}) {
 				page = p
 				break
@@ -175,7 +175,7 @@
 
 // gone tells whether the batch takes the machine off the records.
 func (b *batch) gone(id protocol.MachineID) bool {
-	e := b.c.mir.Machines[id]
+	e := b.c.replica.Machines[id]
 	if e == nil || b.machines[id] != nil {
 		return false
 	}
@@ -208,7 +208,7 @@
 	size := 0
 	if d := b.pages[r.Page]; d != nil {
 		size = d.size
-	} else if p := b.c.mir.Pages[r.Page]; p != nil {
+	} else if p := b.c.replica.Pages[r.Page]; p != nil {
 		size = p.Size
 	}
 	return size < b.c.cfg.ValueBytes*7/8
@@ -231,7 +231,7 @@
 
 // viewDone is what is done of a job as the batch leaves it.
 func (b *batch) viewDone(id protocol.JobID) bk.Ranges {
-	r := b.c.mir.Done(id)
+	r := b.c.replica.Done(id)
 	if more, ok := b.done[id]; ok {
 		r = r.Union(more)
 	}
@@ -254,8 +254,8 @@
 // settleDone moves what is done from own pages to the jobs' records: where a
 // page fills up, or has no machines left.
 func (c *Core) settleDone(b *batch) {
-	for _, id := range sorted(c.mir.Open) {
-		if j, e := c.jstate(id), c.mir.Open[id]; c.mir.Done(id).Len() < e.Rec.Desc.Pieces {
+	for _, id := range sorted(c.replica.Open) {
+		if j, e := c.jstate(id), c.replica.Open[id]; c.replica.Done(id).Len() < e.Rec.Desc.Pieces {
 			j.completeAt = 0
 		} else if j.completeAt == 0 && e.Rec.Claim != c.run {
 			j.completeAt = c.now.Steady // its claimant writes it, if it lives
@@ -264,13 +264,13 @@
 		}
 	}
 	for _, id := range c.ownPages() {
-		p := c.mir.Pages[id]
+		p := c.replica.Pages[id]
 		if len(p.Done) == 0 || p.Size < c.cfg.ValueBytes*3/4 && len(p.Machines) > 0 || b.pages[id] == nil && !b.hasRoom(2) {
 			continue
 		}
 		d := b.page(id)
 		for _, j := range sorted(d.done) {
-			if c.mir.Jobs[j] == nil || !b.hasRoom(b.needs("", j)) {
+			if c.replica.Jobs[j] == nil || !b.hasRoom(b.needs("", j)) {
 				continue
 			}
 			if r := b.job(j); !r.Stage.Final() {
@@ -284,7 +284,7 @@
 // needs counts the records that a change would add to the batch.
 func (b *batch) needs(m protocol.MachineID, jobs ...protocol.JobID) int {
 	n := 0
-	if e := b.c.mir.Machines[m]; m != "" && b.machines[m] == nil && (e == nil || b.pages[e.Rec.Page] == nil) {
+	if e := b.c.replica.Machines[m]; m != "" && b.machines[m] == nil && (e == nil || b.pages[e.Rec.Page] == nil) {
 		n++
 	}
 	for _, j := range jobs {
@@ -302,12 +302,12 @@
 	seen := map[bk.PageID]bool{}
 	n, size, all, whole := 1, b.c.cfg.ValueBytes, 1, b.c.cfg.ValueBytes
 	for _, id := range machines {
-		p := b.c.mir.Machines[id].Rec.Page
+		p := b.c.replica.Machines[id].Rec.Page
 		if seen[p] {
 			continue
 		}
 		seen[p] = true
-		s := b.c.mir.Pages[p].Size + pageSlack
+		s := b.c.replica.Pages[p].Size + pageSlack
 		all, whole = all+1, whole+s
 		if b.pages[p] == nil {
 			n, size = n+1, size+s
@@ -324,7 +324,7 @@
 	if r := b.machines[id]; r != nil {
 		return r
 	}
-	if e := b.c.mir.Machines[id]; e != nil {
+	if e := b.c.replica.Machines[id]; e != nil {
 		return &e.Rec
 	}
 	return nil
@@ -335,7 +335,7 @@
 	if r := b.jobs[id]; r != nil {
 		return r
 	}
-	if e := b.c.mir.Jobs[id]; e != nil {
+	if e := b.c.replica.Jobs[id]; e != nil {
 		return &e.Rec
 	}
 	return nil
@@ -370,7 +370,7 @@
 			if r := b.machines[x]; r != nil {
 				lines[i] = r.Line(x)
 			} else {
-				lines[i] = b.c.mir.Line(x)
+				lines[i] = b.c.replica.Line(x)
 			}
 		}
 		m.Then = append(m.Then, protocol.Then{Put: bk.PageKey(id), Data: bk.EncodePage(d.owner, d.epoch, lines, d.done)})
@@ -406,7 +406,7 @@
 
 // ownPages lists the pages of this run.
 func (c *Core) ownPages() []bk.PageID {
-	return pick(c.mir.Pages, func(p *bk.Page) bool { return c.run != "" && p.Owner == c.run })
+	return pick(c.replica.Pages, func(p *bk.Page) bool { return c.run != "" && p.Owner == c.run })
 }
 
 // joinPages puts what is left on a page that has lost most of its machines onto
@@ -420,16 +420,16 @@
 	own := c.ownPages()
 	load := map[bk.PageID]int{}
 	for _, id := range own {
-		load[id] = b.pageLoad(c.mir.Pages[id].Machines)
+		load[id] = b.pageLoad(c.replica.Pages[id].Machines)
 	}
 	slices.SortStableFunc(own, func(a, z bk.PageID) int { return cmp.Compare(load[a], load[z]) })
 	for _, id := range own {
-		p := c.mir.Pages[id]
+		p := c.replica.Pages[id]
 		if load[id] > c.cfg.ValueBytes/3 || len(p.Machines) == 0 || b.pages[id] != nil {
 			continue
 		}
 		for _, to := range own {
-			t := c.mir.Pages[to]
+			t := c.replica.Pages[to]
 			if to == id || b.pages[to] != nil || t.Epoch < p.Epoch || len(t.Machines) == 0 ||
 				load[to]+load[id] > c.cfg.ValueBytes*7/8 || t.Size+p.Size > c.cfg.ValueBytes*3/4 {
 				continue
@@ -453,7 +453,7 @@
 // splitPages cuts own pages in two that come near the size of a value.
 func (c *Core) splitPages(b *batch) {
 	for _, id := range c.ownPages() {
-		p := c.mir.Pages[id]
+		p := c.replica.Pages[id]
 		if p.Size < c.cfg.ValueBytes*15/16 || len(p.Machines) < 2 || b.pages[id] != nil || !b.hasRoom(2) {
 			continue
 		}
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -66,7 +66,7 @@
 	c.rent()
 	var names []protocol.MachineID
 	for id, r := range c.releasing {
-		if e := c.mir.Machines[id]; e == nil || !r.unmarked && (!c.mine(&e.Rec) || !e.Rec.Releasing) {
+		if e := c.replica.Machines[id]; e == nil || !r.unmarked && (!c.mine(&e.Rec) || !e.Rec.Releasing) {
 			delete(c.releasing, id)
 			continue
 		}
@@ -248,7 +248,7 @@
 	}
 	// A machine that reported but was never listed counts as missing too, once
 	// it must have been.
-	for id, e := range c.mir.Machines {
+	for id, e := range c.replica.Machines {
 		if !have[id] && c.listed[id] == nil && time.Duration(c.now.Wall-e.Rec.Since)*time.Millisecond > 3*c.cfg.ListLag+5*time.Second {
 			c.listed[id] = &listing{host: protocol.Host{UID: id}, seenAt: v.Asked}
 		}
@@ -259,7 +259,7 @@
 // whose renter died before it wrote them down. They are adopted, to be used or
 // returned.
 func (c *Core) strangers(b *batch) {
-	unknown := pick(c.listed, func(l *listing) bool { return c.mir.Machines[l.host.UID] == nil })
+	unknown := pick(c.listed, func(l *listing) bool { return c.replica.Machines[l.host.UID] == nil })
 	for _, id := range unknown {
 		l := c.listed[id]
 		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.canAdd() || b.machines[id] != nil {
@@ -278,7 +278,7 @@
 func (c *Core) writeCloud(b *batch) {
 	c.recordRentals(b)
 	for _, id := range c.leaving {
-		e := c.mir.Machines[id]
+		e := c.replica.Machines[id]
 		if m := c.machines[id]; m != nil && m.leave != "" && e != nil && c.mine(&e.Rec) && !e.Rec.Releasing && b.hasRoom(b.needs(id)) && !b.gone(id) {
 			if m.leave == "idle" && (b.machines[id] != nil || len(e.Rec.Assigned) > 0) {
 				continue
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -21,7 +21,7 @@
 	if c.tx != nil || !c.loaded || now < c.flushAt || c.hold == 0 {
 		return
 	}
-	if c.mir.Rev < c.minRev && c.since(c.minRevAt) < 2*time.Second {
+	if c.replica.Rev < c.minRev && c.since(c.minRevAt) < 2*time.Second {
 		return
 	}
 	if !c.registered() {
@@ -29,7 +29,7 @@
 		return
 	}
 	if c.fence {
-		e := c.mir.Members[c.cfg.Member]
+		e := c.replica.Members[c.cfg.Member]
 		if e == nil || !c.spend(1) {
 			return
 		}
@@ -39,7 +39,7 @@
 			Then: []protocol.Then{{Put: bk.MemberKey(c.cfg.Member), Data: bk.JSON(rec), Tenancy: c.hold}}}})
 		return
 	}
-	if c.mir.Rev < c.minRev {
+	if c.replica.Rev < c.minRev {
 		return
 	}
 	tokens := int(c.tokens.TokensAt(c.steady()))
@@ -101,7 +101,7 @@
 
 // flushUsers sends new and withdrawn jobs.
 func (c *Core) flushUsers() {
-	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.hold == 0 || !c.registered() || c.fence || c.mir.Rev < c.minRev ||
+	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.hold == 0 || !c.registered() || c.fence || c.replica.Rev < c.minRev ||
 		len(c.submits)+len(c.aborts) == 0 {
 		return
 	}
@@ -138,7 +138,7 @@
 	key := bk.MemberKey(c.cfg.Member)
 	run := bk.NewRun(c.cfg.Member, c.hold)
 	c.send(&txn{reg: true, multi: protocol.Multi{
-		When: []protocol.When{{Key: key, Stamp: c.mir.Stamp(key)}},
+		When: []protocol.When{{Key: key, Stamp: c.replica.Stamp(key)}},
 		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run}), Tenancy: c.hold}}}})
 }
 
@@ -180,9 +180,9 @@
 		stamp := protocol.Stamp(v.Answer.Rev)
 		for _, th := range t.multi.Then {
 			if th.Put != "" {
-				c.mirrorPut(th.Put, th.Data, stamp)
+				c.replicaPut(th.Put, th.Data, stamp)
 			} else {
-				c.mir.Delete(th.Delete, stamp)
+				c.replica.Delete(th.Delete, stamp)
 			}
 		}
 		c.onLost()
@@ -195,7 +195,7 @@
 			c.log(slog.LevelInfo, "run registered", "run", string(c.run))
 		case t.fence:
 			// Transactions sent before are now either applied, and seen once
-			// the mirror is as new, or never will be.
+			// the replica is as new, or never will be.
 			c.fence = false
 			c.self = stamp
 			c.waitRev(v.Answer.Rev)
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -25,14 +25,14 @@
 	rng *rand.Rand
 
 	// What the state service holds, as far as it is known here.
-	mir       *bk.Mirror
-	loaded    bool         // the mirror is whole
+	replica   *bk.Replica
+	loaded    bool         // the replica is whole
 	until     protocol.Rev // it is whole once it has reached this
-	begun     bool         // there is a mirror to go on from; an empty store has revision 0
+	begun     bool         // there is a replica to go on from; an empty store has revision 0
 	loading   bool
 	following bool
 	followAt  protocol.Instant
-	mirrorAt  protocol.Instant // when the mirror was last known to be up to date
+	replicaAt protocol.Instant // when the replica was last known to be up to date
 	retryAt   protocol.Instant // next try of load or follow
 	stateOK   protocol.Instant // last answer of the state service
 	stateAsk  protocol.Instant // when the newest request was sent that it has answered
@@ -62,7 +62,7 @@
 	userTx     *txn
 	userAt     protocol.Instant // next one of those
 	fence      bool             // a transaction had an unknown outcome
-	minRev     protocol.Rev     // the mirror must be as new before the next one
+	minRev     protocol.Rev     // the replica must be as new before the next one
 	minRevAt   protocol.Instant
 	flushAt    protocol.Instant
 	busyCount  int
@@ -79,8 +79,8 @@
 	// Users and workers that wait.
 	submits  map[protocol.JobID]*submit
 	aborts   map[protocol.JobID]protocol.Instant        // since when they are being withdrawn
-	told     map[protocol.JobID]told                    // intents to withdraw that the mirror does not have yet
-	acks     map[protocol.JobID]map[bk.Run]protocol.Rev // runs that answer for one, and their mirrors' revisions
+	told     map[protocol.JobID]told                    // intents to withdraw that the replica does not have yet
+	acks     map[protocol.JobID]map[bk.Run]protocol.Rev // runs that answer for one, and their replicas' revisions
 	acked    map[protocol.JobID]bool                    // intents that this run answers for
 	aware    map[protocol.JobID]bool                    // intents of which nobody who matters is unaware
 	intentAt map[protocol.JobID]protocol.Instant        // intents in the last message to the others
@@ -162,7 +162,7 @@
 // New makes the core of a controller that knows nothing yet.
 func New(cfg Config, now Now) *Core {
 	c := &Core{
-		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), mir: bk.NewMirror(),
+		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), replica: bk.NewReplica(),
 		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]protocol.Instant{},
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		rentals: newRentals(), warm: newWarmPool(), waitedFor: map[protocol.Sku]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
@@ -171,7 +171,7 @@
 		told: map[protocol.JobID]told{}, acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{},
 		handing: map[protocol.MachineID]bool{}, holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
-	c.mir.Changed = c.onChanged
+	c.replica.Changed = c.onChanged
 	c.rate, c.txCap = cfg.WriteRPS*cfg.WriteShare, cfg.TxnOps
 	c.tokens = rate.NewLimiter(rate.Limit(c.rate), max(int(cfg.WriteRPS*cfg.WriteShare), cfg.TxnOps+c.kept(), 4))
 	return c
@@ -234,8 +234,8 @@
 	switch v := in.(type) {
 	case UserInput:
 		c.user(v)
-	case BeatInput:
-		c.beat(v)
+	case ReportInput:
+		c.report(v)
 	case CommitResult:
 		c.committed(v)
 	case LoadResult:
@@ -256,8 +256,8 @@
 		c.onExtend(v)
 	case FlavorsResult:
 		c.onFlavors(v)
-	case HireResult:
-		c.onHire(v)
+	case RentalResult:
+		c.onRental(v)
 	case ReleaseResult:
 		c.onRelease(v)
 	case ListResult:
@@ -280,18 +280,18 @@
 }
 
 // follow asks for changes again. Each answer costs a request of a tight
-// budget, so the calls keep a distance unless something waits for the mirror.
+// budget, so the calls keep a distance unless something waits for the replica.
 func (c *Core) follow() {
 	now := c.now.Steady
 	if !c.begun || c.following || c.loading || now < c.retryAt {
 		return
 	}
-	if now < c.followAt && c.mir.Rev >= c.minRev && len(c.waiters) == 0 {
+	if now < c.followAt && c.replica.Rev >= c.minRev && len(c.waiters) == 0 {
 		return
 	}
 	c.following, c.followAsk = true, now
 	c.followAt = now.Add(c.cfg.FollowGap)
-	c.emit(Follow{c.mir.Rev})
+	c.emit(Follow{c.replica.Rev})
 }
 
 // onHint takes in what another controller says of itself. A machine that is
@@ -301,9 +301,9 @@
 	c.peers[h.Member] = peer{h, c.now.Steady}
 	c.onWithdrawals(&h)
 	for _, s := range h.Seen[:min(len(h.Seen), 200)] {
-		if e := c.mir.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.mir.Alive(h.Run) {
+		if e := c.replica.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.replica.Alive(h.Run) {
 			m := c.own(e, s.Machine)
-			if s.Session < m.beatShift || s.Session == m.beatShift && s.Tally <= m.beatTally {
+			if s.Session < m.lastSession || s.Session == m.lastSession && s.Tally <= m.lastTally {
 				continue // a late copy of a report that has been here
 			}
 			m.handTo, m.handAt = h.Run, c.now.Steady
@@ -334,13 +334,13 @@
 	return !c.loaded || c.failures > 1 && c.since(c.stateOK) > time.Second || c.since(c.stateOK) > c.cfg.HoldTTL
 }
 
-// fresh tells whether new starts may rest on the mirror.
+// fresh tells whether new starts may rest on the replica.
 func (c *Core) fresh() bool {
-	// Calls may be answered while the watch stands still: the mirror's own age
+	// Calls may be answered while the watch stands still: the replica's own age
 	// counts too, or a task of a job withdrawn long ago could be started. Both count
 	// from when the request was sent: an answer may have lain in a socket while this
 	// process stood still, and its run may have ended meanwhile.
-	return c.loaded && c.registered() && c.since(c.stateAsk) < c.cfg.HoldTTL/2 && c.since(c.mirrorAt) < c.cfg.HoldTTL
+	return c.loaded && c.registered() && c.since(c.stateAsk) < c.cfg.HoldTTL/2 && c.since(c.replicaAt) < c.cfg.HoldTTL
 }
 
 func (c *Core) registered() bool { return c.self != 0 }
@@ -455,31 +455,31 @@
 		return
 	}
 	// Records deleted while this node did not follow must not stay: begin anew.
-	old := c.mir
-	c.mir = bk.NewMirror()
-	c.mir.Changed = c.onChanged
+	old := c.replica
+	c.replica = bk.NewReplica()
+	c.replica.Changed = c.onChanged
 	clear(c.assignedAt)
 	for _, i := range v.Items {
-		c.mirrorPut(i.Key, i.Data, i.Stamp)
+		c.replicaPut(i.Key, i.Data, i.Stamp)
 	}
 	for _, e := range old.List() {
-		if id := e.ID; c.mir.Machines[id] == nil {
+		if id := e.ID; c.replica.Machines[id] == nil {
 			if m := c.machines[id]; m != nil {
 				c.dropHeld(m)
 				delete(c.machines, id)
 			}
 		}
 	}
-	c.mir.Rev = v.From
+	c.replica.Rev = v.From
 	c.until = v.Until
-	c.mirrorAt = c.loadAsk
+	c.replicaAt = c.loadAsk
 	c.begun = true
-	c.loaded = c.mir.Rev >= c.until
-	c.log(slog.LevelInfo, "records read", "jobs", len(c.mir.Jobs), "machines", len(c.mir.Machines), "revision", uint64(v.From))
+	c.loaded = c.replica.Rev >= c.until
+	c.log(slog.LevelInfo, "records read", "jobs", len(c.replica.Jobs), "machines", len(c.replica.Machines), "revision", uint64(v.From))
 }
 
-func (c *Core) mirrorPut(key string, data json.RawMessage, stamp protocol.Stamp) {
-	if _, err := c.mir.Put(key, data, stamp); err != nil {
+func (c *Core) replicaPut(key string, data json.RawMessage, stamp protocol.Stamp) {
+	if _, err := c.replica.Put(key, data, stamp); err != nil {
 		c.log(slog.LevelError, "unreadable record is left alone", "key", key, "err", err.Error())
 	}
 }
@@ -496,21 +496,21 @@
 		c.retryAt = c.now.Steady.Add(c.jitter(200 * time.Millisecond))
 		return
 	}
-	if v.From != c.mir.Rev {
+	if v.From != c.replica.Rev {
 		return
 	}
 	for _, n := range v.News.News {
 		if n.Put != "" {
-			c.mirrorPut(n.Put, n.Data, n.Stamp)
+			c.replicaPut(n.Put, n.Data, n.Stamp)
 		} else {
-			c.mir.Delete(n.Delete, n.Stamp)
+			c.replica.Delete(n.Delete, n.Stamp)
 		}
 	}
 	c.onLost()
 	c.stirred = true
-	c.mir.Rev = max(c.mir.Rev, v.News.Rev)
-	c.mirrorAt = c.followAsk
-	if !c.loaded && c.mir.Rev >= c.until {
+	c.replica.Rev = max(c.replica.Rev, v.News.Rev)
+	c.replicaAt = c.followAsk
+	if !c.loaded && c.replica.Rev >= c.until {
 		c.loaded = true
 	}
 	c.checkSelf()
@@ -521,13 +521,13 @@
 	if !c.registered() {
 		return
 	}
-	e := c.mir.Members[c.cfg.Member]
+	e := c.replica.Members[c.cfg.Member]
 	if e != nil && e.Rec.Run == c.run {
 		c.self = e.Stamp
 		return
 	}
-	if e == nil && c.mir.Rev < protocol.Rev(c.self) {
-		return // the mirror is older than the registration
+	if e == nil && c.replica.Rev < protocol.Rev(c.self) {
+		return // the replica is older than the registration
 	}
 	c.log(slog.LevelWarn, "this run's lease has ended, a new run begins", "run", string(c.run))
 	c.self, c.hold = 0, 0
@@ -551,7 +551,7 @@
 	}
 	seen := map[bk.Run]bool{}
 	note := func(r bk.Run) {
-		if c.mir.Alive(r) {
+		if c.replica.Alive(r) {
 			return // nobody's things are a dead run's too
 		}
 		seen[r] = true
@@ -559,10 +559,10 @@
 			c.deadAt[r] = c.now.Steady
 		}
 	}
-	for _, p := range c.mir.Pages {
+	for _, p := range c.replica.Pages {
 		note(p.Owner)
 	}
-	for _, j := range c.mir.Open {
+	for _, j := range c.replica.Open {
 		note(j.Rec.Claim)
 	}
 	for r := range c.deadAt {
@@ -576,7 +576,7 @@
 // living node of highest weight, so that a dead run's things are spread out.
 func (c *Core) heir(key string) bool {
 	best, bestW := protocol.Member(""), uint64(0)
-	for m, e := range c.mir.Members {
+	for m, e := range c.replica.Members {
 		if w := weight(string(m), key); e.Rec.Run != "" && (best == "" || w > bestW) {
 			best, bestW = m, w
 		}
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -34,7 +34,7 @@
 	return c, step
 }
 
-// New starts rest on a mirror that is known to be up to date. Answered calls
+// New starts rest on a replica that is known to be up to date. Answered calls
 // alone do not show that: the watch may stand still while a job is withdrawn.
 func TestFresh(t *testing.T) {
 	for _, c := range []struct {
@@ -55,7 +55,7 @@
 				step(0, ExtendResult{Hold: 7, Err: errOutcome})
 			}
 			if c.follow {
-				step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+				step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev}})
 			}
 		}
 		if got := core.fresh(); got != c.want {
@@ -65,7 +65,7 @@
 }
 
 // A transaction without outcome is followed by a fence, and by nothing else
-// before the mirror has all that was written until then.
+// before the replica has all that was written until then.
 func TestFenceAfterUnknownOutcome(t *testing.T) {
 	c, step := begin(t)
 	step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
@@ -100,9 +100,9 @@
 	out := step(0, CommitResult{ID: c.tx.id, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: 9}})
 	out = append(out, submit()...)
 	if n, keys := commits(out); n != 0 {
-		t.Fatalf("%v is written before the mirror is at the fence", keys)
+		t.Fatalf("%v is written before the replica is at the fence", keys)
 	}
-	if n, _ := commits(step(0, FollowResult{From: c.mir.Rev, News: &protocol.Followed{Rev: 9}})); n != 1 {
+	if n, _ := commits(step(0, FollowResult{From: c.replica.Rev, News: &protocol.Followed{Rev: 9}})); n != 1 {
 		t.Fatal("nothing is written behind the fence")
 	}
 }
@@ -111,10 +111,10 @@
 func own(t *testing.T, c *Core, rec bk.MachineRecord) (*bk.Machine, *mstate) {
 	t.Helper()
 	key := bk.PageKey("p")
-	if _, err := c.mir.Put(key, bk.EncodePage(c.run, 3, []string{rec.Line("m-1")}, nil), c.mir.Stamp(key)+1); err != nil {
+	if _, err := c.replica.Put(key, bk.EncodePage(c.run, 3, []string{rec.Line("m-1")}, nil), c.replica.Stamp(key)+1); err != nil {
 		t.Fatal(err)
 	}
-	e := c.mir.Machines["m-1"]
+	e := c.replica.Machines["m-1"]
 	return e, c.own(e, "m-1")
 }
 
@@ -139,7 +139,7 @@
 		{"answers do not reach the worker", 0, 0, true, false},
 	} {
 		core, _ := begin(t)
-		if _, err := core.mir.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":1,"cores":1}}`), 2); err != nil {
+		if _, err := core.replica.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":1,"cores":1}}`), 2); err != nil {
 			t.Fatal(err)
 		}
 		task := protocol.Task{Job: "j-1"}
@@ -185,8 +185,8 @@
 	} {
 		core, step := begin(t)
 		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 2})
-		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 7))})
-		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+		step(0, ReportInput{Req: 1, Body: protocol.Encode(report(e, 7))})
+		if _, err := core.replica.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
 		}
 		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: []Seen{{"m-1", c.shift, c.tally}}}})
@@ -219,7 +219,7 @@
 				err = errOutcome
 			}
 			step(time.Second, ExtendResult{Hold: 7, Err: err})
-			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}, Err: err})
+			step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev}, Err: err})
 			for k, ok := range c.hints {
 				step(0, HintInput{Hint{Member: protocol.Member(rune('a' + k)), StateOK: ok}})
 			}
@@ -251,7 +251,7 @@
 		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1, Bump: 2})
 		r := report(e, 1)
 		r.FencingToken = c.confirmed
-		step(0, BeatInput{Req: 1, Body: protocol.Encode(r)})
+		step(0, ReportInput{Req: 1, Body: protocol.Encode(r)})
 		step(3*time.Second, Tick{}) // answered by now
 		step(c.after-3*time.Second, ExtendResult{Hold: 7})
 		if got := core.surelyExpired(m, &e.Rec); got != c.want {
@@ -262,7 +262,7 @@
 
 // A controller that stood still reads, when it goes on, answers that lay in its
 // sockets, and nothing from workers that could not reach it: neither makes its
-// mirror fresh, nor its machines silent.
+// replica fresh, nor its machines silent.
 func TestStoodStill(t *testing.T) {
 	for _, c := range []struct {
 		name          string
@@ -275,11 +275,11 @@
 	} {
 		core, step := begin(t)
 		e, m := own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1})
-		step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 1))})
+		step(0, ReportInput{Req: 1, Body: protocol.Encode(report(e, 1))})
 		for i := 0; i < 40; i++ { // all is asked for before the pause
 			step(50*time.Millisecond, Tick{})
 		}
-		step(c.pause, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+		step(c.pause, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev}})
 		step(0, ExtendResult{Hold: 7})
 		step(0, Tick{})
 		if core.fresh() != c.fresh || core.silent(m) != c.silent {
@@ -288,7 +288,7 @@
 		for i := 0; i < 4; i++ { // and what is asked for now is answered
 			step(600*time.Millisecond, Tick{})
 			step(0, ExtendResult{Hold: 7})
-			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+			step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev}})
 		}
 		if !core.fresh() {
 			t.Errorf("%s: not fresh again", c.name)
@@ -315,7 +315,7 @@
 	}{{"most of each page", 2, 40, true, false}, {"some of each page", 6, 28, false, false}, {"of an earlier ownership", 2, 28, false, true}} {
 		core, step := begin(t)
 		step(0, FlavorsResult{Flavors: []protocol.Flavor{{Sku: "s", Cores: 4, MemGB: 8, Yards: []protocol.Zone{"a"}}}})
-		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+		if _, err := core.replica.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
 		}
 		var seen []Seen
@@ -332,7 +332,7 @@
 					seen = append(seen, Seen{id, 1, 9})
 				}
 			}
-			if _, err := core.mir.Put(bk.PageKey(bk.PageID(fmt.Sprint("p-", p))), bk.EncodePage(core.run, 3, lines, nil), protocol.Stamp(4+p)); err != nil {
+			if _, err := core.replica.Put(bk.PageKey(bk.PageID(fmt.Sprint("p-", p))), bk.EncodePage(core.run, 3, lines, nil), protocol.Stamp(4+p)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -343,12 +343,12 @@
 		}
 		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: seen}})
 		if c.late {
-			for id, p := range core.mir.Pages {
+			for id, p := range core.replica.Pages {
 				var lines []string
 				for _, m := range p.Machines {
-					lines = append(lines, core.mir.Line(m))
+					lines = append(lines, core.replica.Line(m))
 				}
-				core.mir.Put(bk.PageKey(id), bk.EncodePage(core.run, 5, lines, nil), 99)
+				core.replica.Put(bk.PageKey(id), bk.EncodePage(core.run, 5, lines, nil), 99)
 			}
 		}
 		b := core.newBatch(24)
@@ -362,7 +362,7 @@
 			if d.owner == "" {
 				t.Errorf("%s: a page is given to nobody", c.name)
 			}
-			if core.mir.Pages[id] != nil {
+			if core.replica.Pages[id] != nil {
 				given++
 			} else {
 				moved += len(d.ids)
@@ -436,7 +436,7 @@
 				lines = append(lines, r.Line(protocol.MachineID(fmt.Sprintf("m-%06d", n))))
 			}
 			data := bk.EncodePage(core.run, epoch, lines, map[protocol.JobID]bk.Ranges{"j-1": done})
-			if _, err := core.mir.Put(bk.PageKey(id), data, 4); err != nil {
+			if _, err := core.replica.Put(bk.PageKey(id), data, 4); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -453,13 +453,13 @@
 		}
 		for _, th := range m.Then {
 			if th.Put != "" {
-				core.mir.Put(th.Put, th.Data, 9)
+				core.replica.Put(th.Put, th.Data, 9)
 			} else {
-				core.mir.Delete(th.Delete, 9)
+				core.replica.Delete(th.Delete, 9)
 			}
 		}
-		if len(core.mir.Pages) != 1 || len(core.mir.Machines) != n || len(core.mir.Lost()) != 0 || core.mir.Done("j-1").String() != "0-5" {
-			t.Errorf("%s: %d pages, %d of %d machines, done %s", c.name, len(core.mir.Pages), len(core.mir.Machines), n, core.mir.Done("j-1"))
+		if len(core.replica.Pages) != 1 || len(core.replica.Machines) != n || len(core.replica.Lost()) != 0 || core.replica.Done("j-1").String() != "0-5" {
+			t.Errorf("%s: %d pages, %d of %d machines, done %s", c.name, len(core.replica.Pages), len(core.replica.Machines), n, core.replica.Done("j-1"))
 		}
 	}
 }
@@ -485,7 +485,7 @@
 		tally := protocol.Tally(0)
 		beat := func(after int, pieces ...protocol.TaskReport) {
 			tally++
-			step(time.Duration(after)*time.Second, BeatInput{Req: ReqID(tally), Body: protocol.Encode(report(e, tally, pieces...))})
+			step(time.Duration(after)*time.Second, ReportInput{Req: ReqID(tally), Body: protocol.Encode(report(e, tally, pieces...))})
 		}
 		beat(0)
 		for i, s := range c.seconds {
@@ -516,7 +516,7 @@
 		{"one pause", []time.Duration{4 * time.Second, 50 * time.Millisecond}, false},
 	} {
 		core, step := begin(t)
-		if _, err := core.mir.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
+		if _, err := core.replica.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
 		}
 		own(t, core, bk.MachineRecord{Build: "s", Yard: "a", Session: 1})
@@ -524,7 +524,7 @@
 		for i := 0; i < 400; i++ {
 			gap := c.gaps[min(i, len(c.gaps)-1)]
 			step(0, ExtendResult{Hold: 7})
-			step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: core.mir.Rev}})
+			step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev}})
 			step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", StateOK: true, Fit: true}})
 			for _, e := range step(gap, Tick{}) {
 				v, ok := e.(Commit)
@@ -534,7 +534,7 @@
 				for _, th := range v.Multi.Then {
 					given = given || th.Put == bk.PageKey("p") && strings.Contains(string(th.Data), "stall-1#1")
 				}
-				step(0, CommitResult{ID: v.ID, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: core.mir.Rev + 10}})
+				step(0, CommitResult{ID: v.ID, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: core.replica.Rev + 10}})
 			}
 		}
 		if given != c.want || core.strained() != c.want {
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -239,7 +239,7 @@
 			b.writeRoom(q.id, got, "room is made for a gang")
 		}
 	}
-	written := c.mir.Jobs[q.id].Rec.Room
+	written := c.replica.Jobs[q.id].Rec.Room
 	for _, s := range got {
 		need := *s.r
 		for _, h := range c.victims(s.r, q) {
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -29,8 +29,8 @@
 		Job  protocol.JobID
 		Body []byte
 	}
-	// BeatInput is a worker's report.
-	BeatInput struct {
+	// ReportInput is a worker's report.
+	ReportInput struct {
 		Req  ReqID
 		Body []byte
 	}
@@ -73,8 +73,8 @@
 		Flavors []protocol.Flavor
 		Err     error
 	}
-	// HireResult answers a rental. NoCapacity: the cloud has none.
-	HireResult struct {
+	// RentalResult answers a rental. NoCapacity: the cloud has none.
+	RentalResult struct {
 		Hire       protocol.Hire
 		Stalls     []protocol.MachineID
 		NoCapacity bool
@@ -114,7 +114,7 @@
 	// Machines of other owners whose workers report to the sender: their owners
 	// may be cut off from them.
 	Seen []Seen
-	// How far the sender's mirror is, withdrawals that some may not know of, and those
+	// How far the sender's replica is, withdrawals that some may not know of, and those
 	// that the sender answers for.
 	Rev     protocol.Rev
 	Intents []Intent
@@ -154,8 +154,8 @@
 	Extend struct{ Hold protocol.LeaseID }
 	// AskFlavors reads the machine types and prices.
 	AskFlavors struct{}
-	// SendHire rents machines.
-	SendHire struct{ Hire protocol.Hire }
+	// SendRental rents machines.
+	SendRental struct{ Hire protocol.Hire }
 	// SendRelease gives machines back.
 	SendRelease struct{ Stalls []protocol.MachineID }
 	// AskList reads the machine list.
@@ -223,7 +223,7 @@
 type Tuning struct {
 	HoldTTL      time.Duration // lease of a process run
 	FlushGap     time.Duration // least time between transactions that can wait
-	BeatHold     time.Duration // a report with news waits this long for the write
+	ReportHold   time.Duration // a report with news waits this long for the write
 	IdleHold     time.Duration // a report of a machine with nothing to do waits this long for something
 	WriteShare   float64       // part of the write budget that one controller uses
 	UserWait     time.Duration // a request gets its final answer by then
@@ -240,7 +240,7 @@
 	BalanceGap   time.Duration // least time between pages given to controllers that have fewer
 	AgeAfter     time.Duration // a job that has not begun by then goes before all others
 	SpotLoss     float64       // reclaims an hour that a machine is reckoned with
-	HireCap      int
+	RentalCap    int
 	NoCapacity   time.Duration // pause after the cloud had none
 	ListEvery    time.Duration
 	ListSilent   time.Duration // and while an owned machine is silent
@@ -249,12 +249,12 @@
 // DefaultTuning holds the values chosen by measurement; docs/operations.md says how.
 func DefaultTuning() Tuning {
 	return Tuning{
-		HoldTTL: 6 * time.Second, FlushGap: 250 * time.Millisecond, BeatHold: 700 * time.Millisecond,
+		HoldTTL: 6 * time.Second, FlushGap: 250 * time.Millisecond, ReportHold: 700 * time.Millisecond,
 		IdleHold: 2500 * time.Millisecond, WriteShare: 0.6, UserWait: 1500 * time.Millisecond,
 		IdleFactor: 2, MinPaid: 60 * time.Second,
 		BootFactor: 2, BootExtra: 15 * time.Second, SilentReturn: 15 * time.Second,
 		SpotWindow: 60 * time.Second, SpotPeriod: 300 * time.Second, SpotMargin: 10 * time.Second,
-		SpotCheck: 10 * time.Second, SpotCap: 5000, SpotLoss: 4, HireCap: 50, BalanceGap: 3 * time.Second, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
+		SpotCheck: 10 * time.Second, SpotCap: 5000, SpotLoss: 4, RentalCap: 50, BalanceGap: 3 * time.Second, AgeAfter: 120 * time.Second, NoCapacity: 12 * time.Second,
 		ListEvery: 10 * time.Second, ListSilent: 2500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -16,8 +16,8 @@
 	byTask      map[protocol.Task]*protocol.TaskReport
 	confirmed   protocol.FencingToken // highest baton that the worker has shown
 	confirmedAt protocol.Instant      // when it first did
-	beatShift   protocol.Session      // order of the reports
-	beatTally   protocol.Tally        //
+	lastSession protocol.Session      // order of the reports
+	lastTally   protocol.Tally        //
 	answered    protocol.Instant      // receipt of the last report that was answered with 200
 	baton       protocol.FencingToken // under which it was
 	heardAt     protocol.Instant      // any sign of life, or the begin of this ownership
@@ -62,7 +62,7 @@
 	handAt    protocol.Instant
 	ownedRun  bk.Run
 	ownedIn   bk.Epoch
-	ownedRev  protocol.Rev // the mirror must be as new before a report is answered: it lacks what came before else
+	ownedRev  protocol.Rev // the replica must be as new before a report is answered: it lacks what came before else
 }
 
 type image struct {
@@ -173,7 +173,7 @@
 	m := c.mstate(id)
 	if m.ownedRun != e.Rec.Owner || m.ownedIn != e.Rec.Epoch {
 		m.ownedRun, m.ownedIn = e.Rec.Owner, e.Rec.Epoch
-		m.ownedRev = protocol.Rev(c.mir.Pages[e.Rec.Page].Stamp)
+		m.ownedRev = protocol.Rev(c.replica.Pages[e.Rec.Page].Stamp)
 		m.clear()
 		m.answered, m.baton = 0, 0
 		m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
@@ -245,7 +245,7 @@
 
 // onLost forgets machines that have left the records.
 func (c *Core) onLost() {
-	for _, id := range c.mir.Lost() {
+	for _, id := range c.replica.Lost() {
 		c.released[id] = c.now.Steady
 		if m := c.machines[id]; m != nil {
 			c.dropHeld(m)
@@ -276,7 +276,7 @@
 			continue
 		}
 		c.assignedAt[k] = c.now.Steady
-		if j, fl := c.mir.Jobs[a.Job], c.flavor(after.Build); j != nil && j.Rec.Desc != nil && fl != nil {
+		if j, fl := c.replica.Jobs[a.Job], c.flavor(after.Build); j != nil && j.Rec.Desc != nil && fl != nil {
 			c.noteImage(id, fl, j.Rec.Desc)
 		}
 	}
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -44,9 +44,9 @@
 		return false
 	}
 	cores, accels := 0.0, 0.0
-	for id, e := range c.mir.Open {
+	for id, e := range c.replica.Open {
 		if d := e.Rec.Desc; d.Desk == desk {
-			left := float64(d.Pieces - c.mir.Done(id).Len())
+			left := float64(d.Pieces - c.replica.Done(id).Len())
 			cores += left * d.Cores
 			accels += left * d.Accelerators
 		}
@@ -58,7 +58,7 @@
 func (c *Core) queue(b *batch, rooms []*room) []*queued {
 	byJob := map[protocol.JobID]*queued{}
 	var out []*queued
-	for id := range c.mir.Open {
+	for id := range c.replica.Open {
 		r := b.viewJob(id)
 		if r.Stage.Final() || r.Withdrawing || r.Desc == nil {
 			continue
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -185,13 +185,13 @@
 	q.rec = r
 }
 
-// ours tells whether this run may write placements of the job now. The mirror
+// ours tells whether this run may write placements of the job now. The replica
 // must have all that was written before the claim.
 func (c *Core) ours(b *batch, q *queued) bool {
-	e := c.mir.Jobs[q.id]
+	e := c.replica.Jobs[q.id]
 	j := c.jstate(q.id)
 	return e != nil && e.Rec.Claim == c.run && j.claim == c.run && j.next < j.end &&
-		c.mir.Rev >= protocol.Rev(e.Stamp) && b.viewJob(q.id).Claim == c.run
+		c.replica.Rev >= protocol.Rev(e.Stamp) && b.viewJob(q.id).Claim == c.run
 }
 
 // score ranks machines for a task: small types first, so that the large ones
@@ -277,13 +277,13 @@
 			have = have.Union(a.Pieces)
 		}
 	}
-	for id := range c.mir.On(q.id) {
+	for id := range c.replica.On(q.id) {
 		if !b.gone(id) {
 			add(b.viewMachine(id))
 		}
 	}
 	for id := range b.machines {
-		if !c.mir.On(q.id)[id] {
+		if !c.replica.On(q.id)[id] {
 			add(b.machines[id])
 		}
 	}
@@ -410,7 +410,7 @@
 	n := b.needs(r.id)
 	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
 		n++
-		if c.mir.Rev < protocol.Rev(c.mir.Teams[d.Desk]) {
+		if c.replica.Rev < protocol.Rev(c.replica.Teams[d.Desk]) {
 			return false
 		}
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -13,7 +13,7 @@
 // that all tasks hear of it within gang_peer_s.
 func (c *Core) writeHalts(b *batch) {
 	for _, id := range sorted(c.halts) {
-		e := c.mir.Jobs[id]
+		e := c.replica.Jobs[id]
 		if e == nil || e.Rec.Stage.Final() || e.Rec.Halt >= c.halts[id] {
 			delete(c.halts, id)
 		} else if b.hasRoom(b.needs("", id)) {
@@ -31,7 +31,7 @@
 		if !b.canAdd() {
 			break
 		}
-		e := c.mir.Machines[id]
+		e := c.replica.Machines[id]
 		if e == nil {
 			if !m.shown {
 				continue
@@ -49,8 +49,8 @@
 		c.balance(b)
 		return
 	}
-	for _, id := range sorted(c.mir.Pages) {
-		p := c.mir.Pages[id]
+	for _, id := range sorted(c.replica.Pages) {
+		p := c.replica.Pages[id]
 		at, dead := c.deadAt[p.Owner]
 		if !dead || b.pages[id] != nil || c.since(at) < 1500*time.Millisecond || !b.hasRoom(1) {
 			continue
@@ -73,14 +73,14 @@
 		return
 	}
 	pages := map[bk.Run]int{}
-	for _, p := range c.mir.Pages {
+	for _, p := range c.replica.Pages {
 		pages[p.Owner]++
 	}
 	mine := pages[c.run]
 	var to bk.Run
 	for _, m := range sorted(c.peers) {
 		p := c.peers[m]
-		if c.since(p.at) > 3*time.Second || !p.hint.StateOK || !p.hint.Fit || !c.mir.Alive(p.hint.Run) ||
+		if c.since(p.at) > 3*time.Second || !p.hint.StateOK || !p.hint.Fit || !c.replica.Alive(p.hint.Run) ||
 			!strained && (4*pages[p.hint.Run] >= 3*mine || pages[p.hint.Run]+1 >= mine) {
 			continue
 		}
@@ -122,8 +122,8 @@
 	c.handOver(b)
 	for i := range pages {
 		k := (c.turn + i) % len(pages)
-		for _, id := range c.mir.Pages[pages[k]].Machines {
-			if e := c.mir.Machines[id]; e != nil && e.Rec.Page == pages[k] {
+		for _, id := range c.replica.Pages[pages[k]].Machines {
+			if e := c.replica.Machines[id]; e != nil && e.Rec.Page == pages[k] {
 				c.reconcile(b, id, e)
 			}
 		}
@@ -142,7 +142,7 @@
 	var ids []protocol.MachineID
 	want := map[bk.PageID]map[bk.Run]int{}
 	for _, id := range sorted(c.handing) {
-		e := c.mir.Machines[id]
+		e := c.replica.Machines[id]
 		if e == nil || !c.mine(&e.Rec) {
 			delete(c.handing, id)
 			continue
@@ -153,7 +153,7 @@
 			delete(c.handing, id)
 			continue
 		}
-		if !c.quiet(m) || !c.mir.Alive(m.handTo) || e.Rec.Releasing {
+		if !c.quiet(m) || !c.replica.Alive(m.handTo) || e.Rec.Releasing {
 			continue
 		}
 		if want[e.Rec.Page] == nil {
@@ -169,19 +169,19 @@
 				best = to
 			}
 		}
-		if c.mostOf(c.mir.Pages[id], all) && b.hasRoom(1) && b.pages[id] == nil {
+		if c.mostOf(c.replica.Pages[id], all) && b.hasRoom(1) && b.pages[id] == nil {
 			c.gaveAt = c.now.Steady
 			c.givePage(b, id, best, "page handed over, its workers report there")
 		}
 	}
 	to := map[bk.Run]bk.PageID{}
 	for _, id := range ids {
-		m, e := c.machines[id], c.mir.Machines[id]
+		m, e := c.machines[id], c.replica.Machines[id]
 		if d := b.pages[e.Rec.Page]; d != nil && d.owner != c.run || !b.hasRoom(2) {
 			continue
 		}
 		// A page takes what fits into a value, whatever still begins there.
-		if page := to[m.handTo]; page == "" || b.pages[page].size+len(c.mir.Line(id)) > c.cfg.ValueBytes*3/4 {
+		if page := to[m.handTo]; page == "" || b.pages[page].size+len(c.replica.Line(id)) > c.cfg.ValueBytes*3/4 {
 			to[m.handTo] = b.newPage(m.handTo, e.Rec.Epoch+1)
 		}
 		if page := to[m.handTo]; b.pages[page].epoch > e.Rec.Epoch {
@@ -198,7 +198,7 @@
 func (c *Core) mostOf(p *bk.Page, n int) bool {
 	talk := 0
 	for _, id := range p.Machines {
-		if e := c.mir.Machines[id]; e != nil && e.Rec.Session > 0 && !c.quiet(c.own(e, id)) {
+		if e := c.replica.Machines[id]; e != nil && e.Rec.Session > 0 && !c.quiet(c.own(e, id)) {
 			talk++
 		}
 	}
@@ -368,7 +368,7 @@
 func (c *Core) onTaskError(m *mstate, id protocol.JobID) {
 	j := c.jstate(id)
 	j.failedOn[m.id] = true
-	if e := c.mir.Jobs[id]; len(j.failedOn) >= 2 && (e == nil || c.mir.Done(id).IsZero()) {
+	if e := c.replica.Jobs[id]; len(j.failedOn) >= 2 && (e == nil || c.replica.Done(id).IsZero()) {
 		c.log(slog.LevelWarn, "job fails on several machines", "job", string(id), "machines", len(j.failedOn))
 		return
 	}
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -110,14 +110,14 @@
 		r := c.rentals.requests[name]
 		if r.machines == nil && !r.inFlight && c.now.Steady >= r.retryAt {
 			r.inFlight = true
-			c.emit(SendHire{r.request})
+			c.emit(SendRental{r.request})
 		}
 	}
 }
 
 func (c *Core) spotMachines() int {
 	n := 0
-	for _, e := range c.mir.Machines {
+	for _, e := range c.replica.Machines {
 		if e.Rec.Loaner {
 			n++
 		}
@@ -142,7 +142,7 @@
 		if pending[p.key] {
 			continue
 		}
-		n := min((left+p.per-1)/p.per, c.cfg.HireCap, protocol.MaxHire)
+		n := min((left+p.per-1)/p.per, c.cfg.RentalCap, protocol.MaxHire)
 		if p.key.loaner {
 			n = min(n, c.cfg.SpotCap-spots)
 		}
@@ -162,7 +162,7 @@
 	c.rentals.requests[name] = &rental{request: request, at: c.now.Steady, inFlight: true}
 	c.log(slog.LevelInfo, "machines are rented", "hire", name, "type", string(p.sku), "zone", string(p.yard),
 		"spot", p.loaner, "count", machines, "for", string(job))
-	c.emit(SendHire{request})
+	c.emit(SendRental{request})
 }
 
 // exhausted tells whether the cloud had too few machines of a pool just now.
@@ -212,8 +212,8 @@
 	return (&room{cores: f.Cores, accels: f.Accelerators, mem: f.MemGB}).fits(j)
 }
 
-// onHire takes the answer to a rental request.
-func (c *Core) onHire(v HireResult) {
+// onRental takes the answer to a rental request.
+func (c *Core) onRental(v RentalResult) {
 	r := c.rentals.requests[v.Hire.Hire]
 	if r == nil {
 		return
@@ -254,7 +254,7 @@
 		}
 		missing := 0
 		for _, id := range r.machines {
-			if _, released := c.released[id]; released || c.mir.Machines[id] != nil {
+			if _, released := c.released[id]; released || c.replica.Machines[id] != nil {
 				continue
 			}
 			missing++
--- a/internal/coordination/rentals_test.go
+++ b/internal/coordination/rentals_test.go
@@ -66,7 +66,7 @@
 		core.rentFor(unmetDemand{job: "j-1", desc: task(c.cores, 20), tasks: 5000, urgent: c.urgent}, map[poolKey]bool{}, 0)
 		var got []string
 		for _, e := range core.out {
-			if v, ok := e.(SendHire); ok {
+			if v, ok := e.(SendRental); ok {
 				kind := " steady"
 				if v.Hire.Loaners {
 					kind = " spot"
--- a/internal/coordination/beats.go
+++ b/internal/coordination/reports.go
@@ -28,7 +28,7 @@
 }
 
 // beat handles a worker's report.
-func (c *Core) beat(v BeatInput) {
+func (c *Core) report(v ReportInput) {
 	r, err := protocol.ParseReport(v.Body)
 	if err != nil {
 		c.reply(v.Req, 400, errorBody{err.Error()})
@@ -38,23 +38,23 @@
 		c.reply(v.Req, 503, errorBody{"not ready"})
 		return
 	}
-	e := c.mir.Machines[r.Stall]
+	e := c.replica.Machines[r.Stall]
 	if e == nil || !c.mine(&e.Rec) {
 		switch {
-		case e != nil && c.mir.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
+		case e != nil && c.replica.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
 			c.stray(r)
 			c.redirect(v.Req, e.Rec.Owner.Member())
 		case c.stateDown() || !c.registered():
 			c.redirect(v.Req, "")
 		default:
 			m := c.mstate(r.Stall)
-			if older(r, m.beatShift, m.beatTally) || e != nil && r.Session < e.Rec.Session {
+			if older(r, m.lastSession, m.lastTally) || e != nil && r.Session < e.Rec.Session {
 				c.redirect(v.Req, "") // a late copy
 				return
 			}
 			c.dropHeld(m)
 			m.take(r, c.now.Steady)
-			m.beatShift, m.beatTally = r.Session, r.Tally
+			m.lastSession, m.lastTally = r.Session, r.Tally
 			c.keep(m, v.Req, true)
 			if e == nil {
 				// It may be a copy that outlived its machine. Only a worker that
@@ -65,17 +65,17 @@
 		return
 	}
 	if r.FencingToken > e.Rec.FencingToken {
-		// Someone else is entitled by now, whatever the mirror says.
+		// Someone else is entitled by now, whatever the replica says.
 		c.redirect(v.Req, "")
 		return
 	}
 	m := c.own(e, r.Stall)
-	if older(r, m.beatShift, m.beatTally) || r.Session < e.Rec.Session {
+	if older(r, m.lastSession, m.lastTally) || r.Session < e.Rec.Session {
 		c.redirect(v.Req, "") // delivered late; its worker has long gone on
 		return
 	}
 	c.dropHeld(m)
-	m.beatShift, m.beatTally = r.Session, r.Tally
+	m.lastSession, m.lastTally = r.Session, r.Tally
 	c.heed(e, m, r)
 	// One report is in flight at a time: the last answer has been carried out
 	// or dropped by now.
@@ -85,8 +85,8 @@
 	}
 	m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
 	c.keep(m, v.Req, false)
-	if !c.holdBeat(e, m) {
-		c.answerBeat(e, m)
+	if !c.holdReport(e, m) {
+		c.answerReport(e, m)
 	}
 }
 
@@ -162,10 +162,10 @@
 	return m.doubtAt != 0 && c.since(m.doubtAt) > 3*time.Second
 }
 
-// holdBeat tells whether the answer should wait a moment for a write, so that
+// holdReport tells whether the answer should wait a moment for a write, so that
 // it can carry the starts that take the place of what has ended.
-func (c *Core) holdBeat(e *bk.Machine, m *mstate) bool {
-	if c.mir.Rev < m.ownedRev {
+func (c *Core) holdReport(e *bk.Machine, m *mstate) bool {
+	if c.replica.Rev < m.ownedRev {
 		return c.since(m.heldAt) < 3*time.Second
 	}
 	if c.stateDown() || !c.registered() {
@@ -175,7 +175,7 @@
 	if m.deaf() || m.confirmed < e.Rec.FencingToken {
 		return false
 	}
-	if c.since(m.heldAt) >= c.beatHold() {
+	if c.since(m.heldAt) >= c.reportHold() {
 		return c.holdIdle(e, m)
 	}
 	if r.Session != e.Rec.Session {
@@ -197,7 +197,7 @@
 
 // expecting tells whether the plan has tasks for the machine that its owner waits to
 // see on record, most often those of a job that another controller has claimed. The
-// answer waits for them within beatHold: without that a core that has become free
+// answer waits for them within reportHold: without that a core that has become free
 // stays so for half a report interval on average, where tasks are short a tenth of
 // all cores.
 func (c *Core) expecting(e *bk.Machine, m *mstate) bool {
@@ -206,18 +206,18 @@
 		return false
 	}
 	for i := range rec.Assigned {
-		if j := c.mir.Jobs[rec.Assigned[i].Job]; j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() || !c.allShown(m, &rec.Assigned[i]) {
+		if j := c.replica.Jobs[rec.Assigned[i].Job]; j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() || !c.allShown(m, &rec.Assigned[i]) {
 			return false // there is something to start
 		}
 	}
 	return true
 }
 
-// beatHold is how long a report with news waits for the write. Where reports are
+// reportHold is how long a report with news waits for the write. Where reports are
 // far apart it waits longer: the next one, which would take what this answer
 // lacks, is that much later.
-func (c *Core) beatHold() time.Duration {
-	return max(c.cfg.BeatHold, min(c.cfg.Report*3/8, 3*time.Second))
+func (c *Core) reportHold() time.Duration {
+	return max(c.cfg.ReportHold, min(c.cfg.Report*3/8, 3*time.Second))
 }
 
 // holdIdle tells whether the answer to a machine with room waits for something
@@ -242,7 +242,7 @@
 	}
 	free := fl.Cores
 	for i := range rec.Assigned {
-		j := c.mir.Jobs[rec.Assigned[i].Job]
+		j := c.replica.Jobs[rec.Assigned[i].Job]
 		if j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() {
 			return false
 		}
@@ -270,14 +270,14 @@
 	return all
 }
 
-func (c *Core) settleBeats() {
+func (c *Core) settleReports() {
 	if !c.stirred {
 		return
 	}
 	c.stirred = false
 	for _, id := range sorted(c.holding) {
 		m := c.machines[id]
-		e := c.mir.Machines[id]
+		e := c.replica.Machines[id]
 		if m.adopt {
 			switch {
 			case e != nil && c.mine(&e.Rec):
@@ -286,30 +286,30 @@
 				c.own(e, id)
 				if m.rep.FencingToken > e.Rec.FencingToken || m.rep.Session < e.Rec.Session {
 					c.dropHeld(m)
-				} else if c.mir.Rev >= m.ownedRev {
-					c.answerBeat(e, m)
+				} else if c.replica.Rev >= m.ownedRev {
+					c.answerReport(e, m)
 				}
-			case e != nil && c.mir.Alive(e.Rec.Owner):
+			case e != nil && c.replica.Alive(e.Rec.Owner):
 				c.redirect(c.unhold(m), e.Rec.Owner.Member())
 			case c.stateDown() || c.since(m.heldAt) > 2500*time.Millisecond:
 				c.dropHeld(m)
 			}
 			continue
 		}
-		if e != nil && !c.mine(&e.Rec) && c.mir.Alive(e.Rec.Owner) {
+		if e != nil && !c.mine(&e.Rec) && c.replica.Alive(e.Rec.Owner) {
 			c.redirect(c.unhold(m), e.Rec.Owner.Member())
 		} else if e == nil || !c.mine(&e.Rec) || m.rep.FencingToken > e.Rec.FencingToken {
 			c.dropHeld(m)
-		} else if !c.holdBeat(e, m) {
-			c.answerBeat(e, m)
+		} else if !c.holdReport(e, m) {
+			c.answerReport(e, m)
 		}
 	}
 }
 
-// answerBeat answers the report that is held: 200 with the orders.
-func (c *Core) answerBeat(e *bk.Machine, m *mstate) {
-	if c.mir.Rev < m.ownedRev {
-		// The mirror may lack what was written before this run became the owner: a job
+// answerReport answers the report that is held: 200 with the orders.
+func (c *Core) answerReport(e *bk.Machine, m *mstate) {
+	if c.replica.Rev < m.ownedRev {
+		// The replica may lack what was written before this run became the owner: a job
 		// may have been withdrawn that nobody told this run of.
 		c.dropHeld(m)
 		return
@@ -364,7 +364,7 @@
 	}
 	for i := range rec.Assigned {
 		a := &rec.Assigned[i]
-		j := c.mir.Jobs[a.Job]
+		j := c.replica.Jobs[a.Job]
 		if j == nil || j.Rec.Stage.Final() || c.calledOff(a.Job) || j.Rec.Halt >= a.Try && j.Rec.Halt > 0 {
 			continue
 		}
@@ -394,9 +394,9 @@
 // gangWhole tells whether every task of the gang is assigned with the attempt
 // or done: only then may any of them start.
 func (c *Core) gangWhole(id protocol.JobID, j *bk.JobRecord, try protocol.Attempt) bool {
-	have := c.mir.Done(id)
-	for mid := range c.mir.On(id) {
-		m := c.mir.Machines[mid]
+	have := c.replica.Done(id)
+	for mid := range c.replica.On(id) {
+		m := c.replica.Machines[mid]
 		if m.Rec.Releasing {
 			continue
 		}
@@ -422,9 +422,9 @@
 		return
 	}
 	m.doOut = false
-	e := c.mir.Machines[v.Machine]
+	e := c.replica.Machines[v.Machine]
 	if e == nil && m.adopt && ok {
-		if !older(v.Report, m.beatShift, m.beatTally) {
+		if !older(v.Report, m.lastSession, m.lastTally) {
 			m.take(v.Report, c.now.Steady)
 			m.shown = true
 		}
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -71,10 +71,10 @@
 
 // rooms lists the machines, with what is left on them.
 func (c *Core) rooms(b *batch) []*room {
-	list := c.mir.List()
+	list := c.replica.List()
 	out := make([]*room, 0, len(list)+16)
 	alive := map[bk.Run]bool{c.run: true}
-	for _, e := range c.mir.Members {
+	for _, e := range c.replica.Members {
 		alive[e.Rec.Run] = true
 	}
 	flavors := map[protocol.Sku]*protocol.Flavor{}
@@ -137,7 +137,7 @@
 		if r.machines != nil {
 			n = 0
 			for _, id := range r.machines {
-				if c.mir.Machines[id] == nil {
+				if c.replica.Machines[id] == nil {
 					n++
 				}
 			}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -25,7 +25,7 @@
 	reqs []ReqID
 }
 
-// waiter is a request whose answer needs the mirror at least as new as a
+// waiter is a request whose answer needs the replica at least as new as a
 // revision read after the request arrived.
 type waiter struct {
 	req   ReqID
@@ -50,13 +50,13 @@
 	c.emit(Reply{Req: req, Status: 503, RetryAfter: 1, Body: protocol.Encode(errorBody{"cannot decide now"})})
 }
 
-// jobAnswer is what the mirror says of a job.
+// jobAnswer is what the replica says of a job.
 func (c *Core) jobAnswer(id protocol.JobID, r *bk.JobRecord, counts bool) protocol.JobAnswer {
 	a := protocol.JobAnswer{UID: id, Stage: r.Stage}
 	running := 0
 	if !r.Stage.Final() {
-		for mid := range c.mir.On(id) {
-			for as := range c.mir.Machines[mid].Rec.Of(id) {
+		for mid := range c.replica.On(id) {
+			for as := range c.replica.Machines[mid].Rec.Of(id) {
 				running += as.Pieces.Len()
 			}
 		}
@@ -66,7 +66,7 @@
 		}
 	}
 	if counts {
-		done := c.mir.Done(id).Len()
+		done := c.replica.Done(id).Len()
 		if r.Stage == protocol.Done {
 			done = r.Count
 		}
@@ -93,15 +93,15 @@
 	if c.answerFinal(v.Req, v.Verb, v.Job) {
 		return
 	}
-	if v.Verb == protocol.Abort && c.mir.Jobs[v.Job] != nil && !c.stateDown() {
+	if v.Verb == protocol.Abort && c.replica.Jobs[v.Job] != nil && !c.stateDown() {
 		c.wantAbort(v.Job)
 	}
 	c.wait(&waiter{req: v.Req, verb: v.Verb, id: v.Job, at: c.now.Steady})
 }
 
-// answerFinal answers from the mirror alone: a final state never changes.
+// answerFinal answers from the replica alone: a final state never changes.
 func (c *Core) answerFinal(req ReqID, verb protocol.Verb, id protocol.JobID) bool {
-	e := c.mir.Jobs[id]
+	e := c.replica.Jobs[id]
 	if e == nil || !e.Rec.Stage.Final() {
 		return false
 	}
@@ -157,7 +157,7 @@
 	if c.answerFinal(req, protocol.Submit, j.UID) {
 		return
 	}
-	if c.mir.Jobs[j.UID] != nil {
+	if c.replica.Jobs[j.UID] != nil {
 		c.wait(&waiter{req: req, verb: protocol.Submit, id: j.UID, job: j, at: c.now.Steady})
 		return
 	}
@@ -213,7 +213,7 @@
 	c.writeWithdrawals(b)
 	for _, id := range sorted(c.submits) {
 		s := c.submits[id]
-		if c.mir.Jobs[id] != nil || !b.hasRoom(1) {
+		if c.replica.Jobs[id] != nil || !b.hasRoom(1) {
 			continue
 		}
 		b.open(bk.JobKey(id), 700)
@@ -225,7 +225,7 @@
 func (c *Core) settle() {
 	for _, id := range sorted(c.submits) {
 		s := c.submits[id]
-		e := c.mir.Jobs[id]
+		e := c.replica.Jobs[id]
 		if e == nil {
 			continue
 		}
@@ -246,17 +246,17 @@
 	}
 	c.waiters = slices.DeleteFunc(c.waiters, c.answer)
 	c.askRev()
-	c.settleBeats()
+	c.settleReports()
 }
 
 func (c *Core) answer(w *waiter) bool {
 	if c.answerFinal(w.req, w.verb, w.id) {
 		return true
 	}
-	if w.abort || w.rev == 0 || c.mir.Rev < w.rev || !c.loaded {
+	if w.abort || w.rev == 0 || c.replica.Rev < w.rev || !c.loaded {
 		return false
 	}
-	e := c.mir.Jobs[w.id]
+	e := c.replica.Jobs[w.id]
 	switch {
 	case e == nil && w.verb == protocol.Submit:
 		if len(c.flavors) == 0 {
@@ -301,7 +301,7 @@
 	for id, at := range c.aborts {
 		// The user is told to come back; withdrawing goes on all the same
 		// for a while, as it was asked for.
-		if c.mir.Withdrawing[id] == nil && c.since(at) > 30*time.Second {
+		if c.replica.Withdrawing[id] == nil && c.since(at) > 30*time.Second {
 			delete(c.aborts, id)
 		}
 	}
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -20,8 +20,8 @@
 	var owned []ownedMachine
 	total, quiet := 0, 0
 	for _, p := range c.ownPages() {
-		for _, id := range c.mir.Pages[p].Machines {
-			e := c.mir.Machines[id]
+		for _, id := range c.replica.Pages[p].Machines {
+			e := c.replica.Machines[id]
 			if e == nil || e.Rec.Page != p {
 				continue
 			}
@@ -57,12 +57,12 @@
 	}
 	c.forgetAt = c.now.Steady.Add(2 * time.Second)
 	for id, m := range c.machines {
-		if c.mir.Machines[id] == nil && m.held == 0 {
+		if c.replica.Machines[id] == nil && m.held == 0 {
 			delete(c.machines, id)
 		}
 	}
 	for id := range c.jobs {
-		if e := c.mir.Jobs[id]; e == nil || e.Rec.Stage == protocol.Done || e.Rec.Stage.Final() && len(c.mir.On(id)) == 0 {
+		if e := c.replica.Jobs[id]; e == nil || e.Rec.Stage == protocol.Done || e.Rec.Stage.Final() && len(c.replica.On(id)) == 0 {
 			delete(c.jobs, id)
 		}
 	}
@@ -70,8 +70,8 @@
 
 // lastTry is the highest attempt with which tasks of the job are assigned.
 func (c *Core) lastTry(id protocol.JobID, b *batch) (try protocol.Attempt) {
-	for mid := range c.mir.On(id) {
-		r := &c.mir.Machines[mid].Rec
+	for mid := range c.replica.On(id) {
+		r := &c.replica.Machines[mid].Rec
 		if b != nil {
 			r = b.viewMachine(mid)
 		}
@@ -83,7 +83,7 @@
 }
 
 func (c *Core) watchGangs() {
-	for id, e := range c.mir.Open {
+	for id, e := range c.replica.Open {
 		if !e.Rec.Desc.Gang() || e.Rec.Desc.Pieces < 2 {
 			continue
 		}
@@ -114,7 +114,7 @@
 		if p.Stage == protocol.Ended {
 			continue
 		}
-		je := c.mir.Jobs[p.Task.Job]
+		je := c.replica.Jobs[p.Task.Job]
 		if je == nil || je.Rec.Desc == nil {
 			continue
 		}
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -19,9 +19,9 @@
 // by an acknowledgement, which binds its process. A run that has ended answers for
 // nothing, as its process may be cut off with its workers and go on: its heir must have
 // been shown the baton by the worker. Who takes a page over, or begins, knows the
-// intent by then: it answers no worker before its mirror has its own write.
+// intent by then: it answers no worker before its replica has its own write.
 
-// Intent is the fact that a job is being withdrawn, for controllers whose mirrors do
+// Intent is the fact that a job is being withdrawn, for controllers whose replicas do
 // not have it yet.
 type Intent struct {
 	Job protocol.JobID
@@ -45,7 +45,7 @@
 // calledOff tells whether a job is withdrawn, or about to be: none of its tasks may
 // begin or go on.
 func (c *Core) calledOff(id protocol.JobID) bool {
-	if e := c.mir.Jobs[id]; e != nil && e.Rec.CalledOff() {
+	if e := c.replica.Jobs[id]; e != nil && e.Rec.CalledOff() {
 		return true
 	}
 	_, ok := c.told[id]
@@ -56,7 +56,7 @@
 // as it is on record.
 func (c *Core) calledOffFor(id protocol.JobID) time.Duration {
 	d := time.Duration(0)
-	if e := c.mir.Jobs[id]; e != nil && e.Rec.CalledOff() {
+	if e := c.replica.Jobs[id]; e != nil && e.Rec.CalledOff() {
 		d = time.Duration(c.now.Wall-e.Rec.OffAt) * time.Millisecond
 	}
 	if k, ok := c.told[id]; ok {
@@ -69,7 +69,7 @@
 // begin any more, and no earlier owner can keep one: the worker has shown this
 // ownership's baton, and what its newest report shows is past its image or gone.
 func (c *Core) settled(id protocol.MachineID, job protocol.JobID) bool {
-	e, m := c.mir.Machines[id], c.machines[id]
+	e, m := c.replica.Machines[id], c.machines[id]
 	if c.returned(id) {
 		return true
 	}
@@ -112,8 +112,8 @@
 
 // ownSettled tells whether all owned machines are settled for a job.
 func (c *Core) ownSettled(id protocol.JobID) bool {
-	for mid := range c.mir.On(id) {
-		if e := c.mir.Machines[mid]; c.mine(&e.Rec) && !c.settled(mid, id) {
+	for mid := range c.replica.On(id) {
+		if e := c.replica.Machines[mid]; c.mine(&e.Rec) && !c.settled(mid, id) {
 			return false
 		}
 	}
@@ -123,11 +123,11 @@
 // allAware tells whether nobody who could keep or begin a task of the job is unaware
 // of its intent.
 func (c *Core) allAware(id protocol.JobID) bool {
-	if c.mir.Rev < protocol.Rev(c.mir.Jobs[id].Stamp) {
+	if c.replica.Rev < protocol.Rev(c.replica.Jobs[id].Stamp) {
 		return false // what was assigned before the intent may be missing here
 	}
-	for mid := range c.mir.On(id) {
-		r := &c.mir.Machines[mid].Rec
+	for mid := range c.replica.On(id) {
+		r := &c.replica.Machines[mid].Rec
 		if c.mine(r) {
 			if !c.settled(mid, id) {
 				return false
@@ -139,7 +139,7 @@
 		}
 		// An acknowledgement covers what its sender knew that it owns.
 		rev, ok := c.acks[id][r.Owner]
-		if !ok || !c.mir.Alive(r.Owner) || rev < protocol.Rev(c.mir.Pages[r.Page].Since) {
+		if !ok || !c.replica.Alive(r.Owner) || rev < protocol.Rev(c.replica.Pages[r.Page].Since) {
 			return false
 		}
 	}
@@ -151,18 +151,18 @@
 // as only this run assigns its tasks. The write rests on the pages of these machines:
 // one that is being given away goes first or not at all.
 func (c *Core) inOneWrite(b *batch, id protocol.JobID) bool {
-	e := c.mir.Jobs[id]
-	if e.Rec.Claim != c.run || c.mir.Rev < protocol.Rev(e.Stamp) || c.tx != nil && c.tx.restsOn(bk.JobKey(id)) ||
-		len(b.when)+len(c.mir.On(id)) > 3*c.cfg.TxnOps {
+	e := c.replica.Jobs[id]
+	if e.Rec.Claim != c.run || c.replica.Rev < protocol.Rev(e.Stamp) || c.tx != nil && c.tx.restsOn(bk.JobKey(id)) ||
+		len(b.when)+len(c.replica.On(id)) > 3*c.cfg.TxnOps {
 		return false
 	}
-	for mid := range c.mir.On(id) {
-		if r := &c.mir.Machines[mid].Rec; !c.mine(r) || !c.settled(mid, id) {
+	for mid := range c.replica.On(id) {
+		if r := &c.replica.Machines[mid].Rec; !c.mine(r) || !c.settled(mid, id) {
 			return false
 		}
 	}
-	for mid := range c.mir.On(id) {
-		b.on(bk.PageKey(c.mir.Machines[mid].Rec.Page))
+	for mid := range c.replica.On(id) {
+		b.on(bk.PageKey(c.replica.Machines[mid].Rec.Page))
 	}
 	return true
 }
@@ -179,11 +179,11 @@
 // writeWithdrawals puts the next step of each withdrawal into the transaction.
 func (c *Core) writeWithdrawals(b *batch) {
 	for _, id := range sorted(c.aborts) {
-		e := c.mir.Jobs[id]
+		e := c.replica.Jobs[id]
 		switch {
 		case e == nil || e.Rec.Stage.Final():
 			delete(c.aborts, id)
-		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.aware[id] || c.mir.Done(id).Len() >= e.Rec.Desc.Pieces):
+		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.aware[id] || c.replica.Done(id).Len() >= e.Rec.Desc.Pieces):
 			// Not yet; or all its tasks turned out done first: its claimant says so.
 		case e.Rec.Withdrawing || c.inOneWrite(b, id):
 			r := b.job(id)
@@ -201,17 +201,17 @@
 		return
 	}
 	for id, k := range c.told {
-		if c.mir.Rev >= k.rev {
-			delete(c.told, id) // the mirror has it, or it is over
+		if c.replica.Rev >= k.rev {
+			delete(c.told, id) // the replica has it, or it is over
 		}
 	}
 	for id := range c.aware {
-		if c.mir.Withdrawing[id] == nil {
+		if c.replica.Withdrawing[id] == nil {
 			delete(c.aware, id)
 		}
 	}
 	for id := range c.acks {
-		if c.mir.Withdrawing[id] == nil {
+		if c.replica.Withdrawing[id] == nil {
 			delete(c.acks, id)
 		}
 	}
@@ -226,7 +226,7 @@
 	for id := range c.told {
 		ack(id)
 	}
-	for id := range c.mir.Withdrawing {
+	for id := range c.replica.Withdrawing {
 		ack(id)
 		if _, asked := c.aborts[id]; !asked && c.calledOffFor(id) > 4*time.Second && c.heir(bk.JobKey(id)) {
 			c.wantAbort(id) // whoever began it may be gone
@@ -245,17 +245,17 @@
 // them do not seem to know, and those that this one answers for. Both are repeated until
 // they are over; if there are too many for one message, they take turns.
 func (c *Core) withdrawalHint(h *Hint) {
-	h.Rev = c.mir.Rev
+	h.Rev = c.replica.Rev
 	var open []protocol.JobID
 	for _, id := range sorted(c.aborts) {
-		if e := c.mir.Withdrawing[id]; e != nil && !c.aware[id] {
+		if e := c.replica.Withdrawing[id]; e != nil && !c.aware[id] {
 			open = append(open, id)
 		}
 	}
 	clear(c.intentAt)
 	for _, id := range c.inTurn(open, maxIntents) {
 		c.intentAt[id] = c.now.Steady
-		h.Intents = append(h.Intents, Intent{id, protocol.Rev(c.mir.Withdrawing[id].Stamp)})
+		h.Intents = append(h.Intents, Intent{id, protocol.Rev(c.replica.Withdrawing[id].Stamp)})
 	}
 	h.Acks = c.inTurn(sorted(c.acked), maxAcks)
 }
@@ -271,16 +271,16 @@
 // onWithdrawals takes in what another controller says of withdrawals.
 func (c *Core) onWithdrawals(h *Hint) {
 	for _, in := range h.Intents[:min(len(h.Intents), maxIntents)] {
-		if _, ok := c.told[in.Job]; !ok && in.Job.Valid() && c.mir.Rev < in.Rev && len(c.told) < maxTold {
+		if _, ok := c.told[in.Job]; !ok && in.Job.Valid() && c.replica.Rev < in.Rev && len(c.told) < maxTold {
 			c.told[in.Job] = told{in.Rev, c.now.Steady}
 			c.stirred = true
 		}
 	}
-	if !c.mir.Alive(h.Run) {
+	if !c.replica.Alive(h.Run) {
 		return // of an unknown or ended run
 	}
 	for _, id := range h.Acks[:min(len(h.Acks), maxAcks)] {
-		if c.mir.Withdrawing[id] == nil {
+		if c.replica.Withdrawing[id] == nil {
 			continue
 		}
 		if c.acks[id] == nil {
@@ -344,9 +344,9 @@
 	if !c.loaded || !c.outForAll() {
 		return
 	}
-	ids := pick(c.mir.Machines, func(e *bk.Machine) bool { return !c.mine(&e.Rec) && len(e.Rec.Assigned) > 0 })
+	ids := pick(c.replica.Machines, func(e *bk.Machine) bool { return !c.mine(&e.Rec) && len(e.Rec.Assigned) > 0 })
 	for _, id := range ids {
-		e := c.mir.Machines[id]
+		e := c.replica.Machines[id]
 		if p, ok := c.peers[e.Rec.Owner.Member()]; ok && p.hint.Run == e.Rec.Owner && c.since(p.at) < 5*time.Second {
 			continue // its owner lives, and sees to it
 		}
--- a/internal/coordination/withdraw_test.go
+++ b/internal/coordination/withdraw_test.go
@@ -11,7 +11,7 @@
 // withdrawing puts a job on record whose withdrawal has begun.
 func withdrawing(t *testing.T, c *Core, stamp protocol.Stamp) {
 	t.Helper()
-	if _, err := c.mir.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1},"w":true,"o":1000000000000}`), stamp); err != nil {
+	if _, err := c.replica.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1},"w":true,"o":1000000000000}`), stamp); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -77,7 +77,7 @@
 }
 
 // Whose word counts for another controller's machine: that of its owner's living run,
-// said by a mirror that knew of the ownership.
+// said by a replica that knew of the ownership.
 func TestAcknowledgements(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -94,40 +94,40 @@
 	} {
 		core, step := begin(t)
 		for key, data := range map[string]string{bk.MemberKey("stall-1"): `{"r":"stall-1#1"}`, bk.MemberKey("stall-2"): `{"r":"stall-2#9"}`} {
-			if _, err := core.mir.Put(key, []byte(data), 2); err != nil {
+			if _, err := core.replica.Put(key, []byte(data), 2); err != nil {
 				t.Fatal(err)
 			}
 		}
 		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(protocol.Task{Job: "j-1"}, 5)
-		if _, err := core.mir.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 5); err != nil {
+		if _, err := core.replica.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 5); err != nil {
 			t.Fatal(err)
 		}
 		withdrawing(t, core, 6)
-		core.mir.Rev = 6
+		core.replica.Rev = 6
 		c.hint.Member = c.hint.Run.Member()
 		step(0, HintInput{c.hint})
 		if got := core.allAware("j-1"); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 		// An answer counts only as long as its run lives.
-		core.mir.Delete(bk.MemberKey("stall-1"), 7)
+		core.replica.Delete(bk.MemberKey("stall-1"), 7)
 		if core.allAware("j-1") {
 			t.Errorf("%s: the word of a run that has ended counts", c.name)
 		}
 	}
 }
 
-// Who is told of an intent is bound by it while its own mirror stands still: it stops the
-// task in its answers, starts none, and says so; and it forgets it once the mirror has moved on.
+// Who is told of an intent is bound by it while its own replica stands still: it stops the
+// task in its answers, starts none, and says so; and it forgets it once the replica has moved on.
 func TestToldIntentBinds(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		rev  protocol.Rev
 		want bool
-	}{{"newer than the mirror", 50, true}, {"older: the mirror would have it", 1, false}} {
+	}{{"newer than the replica", 50, true}, {"older: the replica would have it", 1, false}} {
 		core, step := begin(t)
-		if _, err := core.mir.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1}}`), 2); err != nil {
+		if _, err := core.replica.Put(bk.JobKey("j-1"), []byte(`{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1}}`), 2); err != nil {
 			t.Fatal(err)
 		}
 		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
@@ -153,10 +153,10 @@
 		if starts != btoi(!c.want) || stops != btoi(c.want) || acked != c.want {
 			t.Errorf("%s: %d starts, %d stops, acknowledged %v", c.name, starts, stops, acked)
 		}
-		step(0, FollowResult{From: core.mir.Rev, News: &protocol.Followed{Rev: 50}})
+		step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: 50}})
 		step(60*time.Millisecond, Tick{})
 		if core.calledOff("j-1") {
-			t.Errorf("%s: still bound though its mirror has gone past it", c.name)
+			t.Errorf("%s: still bound though its replica has gone past it", c.name)
 		}
 	}
 }
@@ -168,13 +168,13 @@
 	return 0
 }
 
-// Who takes a page over answers no report before its mirror has that write: it may lack
+// Who takes a page over answers no report before its replica has that write: it may lack
 // a withdrawal that the owner before knew of.
 func TestNoAnswerBehindTakeover(t *testing.T) {
 	core, step := begin(t)
 	rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
-	e, _ := own(t, core, rec) // its page is newer than the mirror: an own write that was answered
-	if core.mir.Rev = 0; core.machines["m-1"].ownedRev == 0 {
+	e, _ := own(t, core, rec) // its page is newer than the replica: an own write that was answered
+	if core.replica.Rev = 0; core.machines["m-1"].ownedRev == 0 {
 		t.Fatal("the page has no revision")
 	}
 	status := func(out []Effect) int {
@@ -185,16 +185,16 @@
 		}
 		return 0
 	}
-	if s := status(step(0, BeatInput{Req: 1, Body: protocol.Encode(report(e, 1))})); s != 0 {
-		t.Errorf("answered %d before the mirror is as new", s)
+	if s := status(step(0, ReportInput{Req: 1, Body: protocol.Encode(report(e, 1))})); s != 0 {
+		t.Errorf("answered %d before the replica is as new", s)
 	}
 	if s := status(step(3100*time.Millisecond, Tick{})); s != 421 {
 		t.Errorf("answered %d at last, the worker should look elsewhere", s)
 	}
-	step(0, BeatInput{Req: 2, Body: protocol.Encode(report(e, 2))})
-	core.mir.Rev = 9
+	step(0, ReportInput{Req: 2, Body: protocol.Encode(report(e, 2))})
+	core.replica.Rev = 9
 	if s := status(step(2600*time.Millisecond, Tick{})); s != 200 {
-		t.Errorf("answered %d with the mirror as new", s)
+		t.Errorf("answered %d with the replica as new", s)
 	}
 }
 
@@ -205,7 +205,7 @@
 		core, step := begin(t)
 		rec := bk.MachineRecord{Build: "s", Yard: "a", Session: 2}
 		rec.Assign(protocol.Task{Job: "j-1"}, 5)
-		if _, err := core.mir.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 2); err != nil {
+		if _, err := core.replica.Put(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{rec.Line("m-1")}, nil), 2); err != nil {
 			t.Fatal(err)
 		}
 		withdrawing(t, core, 2)
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -19,7 +19,7 @@
 const (
 	PathWork   = "/work"
 	PathHealth = "/healthz"
-	PathBeat   = "/agent/beat"
+	PathReport = "/agent/beat"
 	abortEnd   = "/abort"
 )
 
--- a/internal/standin/added_test.go
+++ b/internal/standin/added_test.go
@@ -163,7 +163,7 @@
 	}
 	// To all controllers while the machine lives: its tasks stay where they are.
 	for i := 0; i < 40; i++ {
-		w.At(time.Duration(i)*300*time.Millisecond, func() { w.Nodes[i%3].Beat(before, func(int, []byte) {}) })
+		w.At(time.Duration(i)*300*time.Millisecond, func() { w.Nodes[i%3].Report(before, func(int, []byte) {}) })
 	}
 	w.Run(14 * time.Second)
 	if changes != 0 || w.Rules.Started != started {
@@ -174,7 +174,7 @@
 	w.Run(40 * time.Second)
 	changes = 0
 	for i := 0; i < 20; i++ {
-		w.At(time.Duration(i)*time.Second, func() { w.Nodes[i%3].Beat(late, func(int, []byte) {}) })
+		w.At(time.Duration(i)*time.Second, func() { w.Nodes[i%3].Report(late, func(int, []byte) {}) })
 	}
 	w.Run(25 * time.Second)
 	if changes != 0 {
@@ -306,7 +306,7 @@
 			m := w.Workers[w.Machine("small", "a", false, time.Hour)] // reports when it is told to
 			w.At(time.Duration(i)*400*time.Millisecond, func() {
 				for _, n := range w.Nodes {
-					n.Beat(m.body(), func(int, []byte) {})
+					n.Report(m.body(), func(int, []byte) {})
 				}
 			})
 		}
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -192,7 +192,7 @@
 						for _, o := range w.others(n) {
 							w.At(s(2+float64(w.Rng.IntN(12))), func() {
 								if o.Alive {
-									o.Beat(body, func(int, []byte) {})
+									o.Report(body, func(int, []byte) {})
 								}
 							})
 						}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -371,10 +371,10 @@
 	case coordination.AskFlavors:
 		n.call(w.NoCloud, wait, func() coordination.Input { return coordination.FlavorsResult{Flavors: w.Flavors} },
 			coordination.FlavorsResult{Err: errLost})
-	case coordination.SendHire:
+	case coordination.SendRental:
 		n.call(w.NoCloud, wait, func() coordination.Input {
 			if w.NoHire {
-				return coordination.HireResult{Hire: v.Hire, NoCapacity: true}
+				return coordination.RentalResult{Hire: v.Hire, NoCapacity: true}
 			}
 			if _, ok := w.hires[v.Hire.Hire]; !ok {
 				w.hires[v.Hire.Hire] = nil
@@ -383,8 +383,8 @@
 					w.hires[v.Hire.Hire] = append(w.hires[v.Hire.Hire], id)
 				}
 			}
-			return coordination.HireResult{Hire: v.Hire, Stalls: w.hires[v.Hire.Hire]}
-		}, coordination.HireResult{Hire: v.Hire, Err: errLost})
+			return coordination.RentalResult{Hire: v.Hire, Stalls: w.hires[v.Hire.Hire]}
+		}, coordination.RentalResult{Hire: v.Hire, Err: errLost})
 	case coordination.SendRelease:
 		n.call(w.NoCloud, wait, func() coordination.Input {
 			for _, id := range v.Stalls {
@@ -486,7 +486,7 @@
 		o := w.Nodes[w.Rng.IntN(len(w.Nodes))]
 		w.At(time.Duration(500+w.Rng.IntN(40000))*time.Millisecond, func() { // from seconds to well over a lease
 			if o.Alive {
-				o.Beat(body, func(int, []byte) {})
+				o.Report(body, func(int, []byte) {})
 			}
 		})
 	}
@@ -505,7 +505,7 @@
 			w.At(w.delay(), func() { back(0, nil) })
 			return
 		}
-		n.Beat(body, func(status int, b []byte) {
+		n.Report(body, func(status int, b []byte) {
 			if m.Cut || m.Mute || m.Deaf || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
 				return
 			}
@@ -514,9 +514,9 @@
 	})
 }
 
-// Beat hands a report to the controller.
-func (n *Node) Beat(body []byte, back func(int, []byte)) {
-	n.request(back, func(id coordination.ReqID) coordination.Input { return coordination.BeatInput{Req: id, Body: body} })
+// Report hands a report to the controller.
+func (n *Node) Report(body []byte, back func(int, []byte)) {
+	n.request(back, func(id coordination.ReqID) coordination.Input { return coordination.ReportInput{Req: id, Body: body} })
 }
 
 func (n *Node) request(back func(int, []byte), in func(coordination.ReqID) coordination.Input) {
