--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -19,11 +19,17 @@
 	teamPrefix   = Prefix + "q/"
 )
 
-// Keys of the records.
-func JobKey(id protocol.JobID) string    { return jobPrefix + string(id) }
-func PageKey(id PageID) string           { return pagePrefix + string(id) }
+// JobKey is the key of a job's record.
+func JobKey(id protocol.JobID) string { return jobPrefix + string(id) }
+
+// PageKey is the key of a page of machines.
+func PageKey(id PageID) string { return pagePrefix + string(id) }
+
+// MemberKey is the key of a controller's living run.
 func MemberKey(m protocol.Member) string { return memberPrefix + string(m) }
-func TeamKey(team string) string         { return teamPrefix + team }
+
+// TeamKey is the key that orders the placements of a team that has a limit.
+func TeamKey(team string) string { return teamPrefix + team }
 
 // RollKey is written by every transaction that puts a machine on record. It
 // stands for the key of its own that a machine does not have: without it two
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -258,7 +258,7 @@
 				life := o.life
 				w.At(w.delay(), func() {
 					if o.Alive && o.life == life {
-						o.step(coordination.HintInput{Hint: v.Hint})
+						o.step(coordination.HintInput(v))
 					}
 				})
 			}
--- a/test.sh
+++ b/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The project's whole check: format, vet, tests with the race detector, and the
+# The project's whole check: format, vet, linter, tests with the race detector, and the
 # build that deploy/service.toml names.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -9,6 +9,7 @@
   exit 1
 fi
 go vet ./...
+go tool -modfile=tools/go.mod staticcheck ./...
 go test -race -count=1 ./...
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)
 bash -c "$build"
