--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -58,8 +57,8 @@
 	}
 }
 
-// Two troubles at once, each of the meetings that the users have listed. Every rule
-// holds, and behind the troubles every job comes to its end.
+// Two troubles at once, meetings that the users have listed; TestMoreMeetings has the
+// others. Each row's number is its line on their page.
 func TestMeetings(t *testing.T) {
 	s := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 	outage := func(w *World, from, for_ float64) {
@@ -73,11 +72,8 @@
 			w.At(s(for_), func() { n.Refused = false })
 		})
 	}
-	for _, c := range []struct {
-		name    string
-		trouble func(w *World) // over by the 110th second
-	}{
-		{"1 jobs are called off as the leader is refused, and a second later all are", func(w *World) {
+	for _, m := range []meeting{
+		{1, "jobs are called off as the leader is refused, and a second later all are", func(w *World) {
 			w.long(8, "core", 60)
 			for _, at := range []float64{25, 68} {
 				refuse(w, at, 14)
@@ -85,7 +81,7 @@
 				outage(w, at+1, 34)
 			}
 		}},
-		{"2 a cancellation, a question or a repeated submission meets the end of the last task", func(w *World) {
+		{3, "a cancellation, a question or a repeated submission meets the end of the last task", func(w *World) {
 			w.AtEnd = 0.5
 			w.At(s(100), func() { w.AtEnd = 0 })
 			w.Ended = func(id protocol.JobID) {
@@ -95,7 +91,7 @@
 				}
 			}
 		}},
-		{"3 workers reach no controller, while direct commands reach them", func(w *World) {
+		{4, "workers reach no controller, while direct commands reach them", func(w *World) {
 			w.long(4, "core", 60)
 			for i := range 4 {
 				w.At(s(20+18*float64(i)), func() {
@@ -107,7 +103,7 @@
 				})
 			}
 		}},
-		{"4 old reports arrive after newer ones, of earlier sessions and attempts too", func(w *World) {
+		{17, "old reports arrive after newer ones, of earlier sessions and attempts too", func(w *World) {
 			w.Copies = 0.6
 			for i := range 12 {
 				w.At(s(16+6*float64(i)), func() {
@@ -118,7 +114,7 @@
 			}
 			w.restart(w.Nodes[1], s(50), s(0.3))
 		}},
-		{"5 jobs bound to one zone, arrays too, lose machines", func(w *World) {
+		{10, "jobs bound to one zone, arrays too, lose machines", func(w *World) {
 			for i := range 8 {
 				d := array(protocol.JobID(fmt.Sprintf("j-7%03d", i)), "bound", "standard", 6, 2, 20)
 				d.Together = true
@@ -144,7 +140,7 @@
 			}
 			w.restart(w.Nodes[0], s(40), s(2))
 		}},
-		{"6 leaders change ten times in two minutes, also inside an outage", func(w *World) {
+		{13, "leaders change ten times in two minutes, also inside an outage", func(w *World) {
 			w.long(6, "core", 40)
 			for i := range 10 {
 				w.At(s(14+9*float64(i)), func() {
@@ -157,7 +153,7 @@
 			outage(w, 40, 16)
 			w.At(s(45), func() { w.cancelRunning(3) })
 		}},
-		{"7 commands or their answers are held up for seconds, and the machines go on", func(w *World) {
+		{23, "commands or their answers are held up for seconds, and the machines go on", func(w *World) {
 			w.Drop = 0.08
 			w.long(6, "core", 40)
 			for i := range 16 {
@@ -170,7 +166,7 @@
 			}
 			w.restart(w.Nodes[2], s(60), s(1))
 		}},
-		{"8 transactions without an answer are carried out late, after newer ones", func(w *World) {
+		{8, "transactions without an answer are carried out late, after newer ones", func(w *World) {
 			// Few machines on a page: what is planned anew does not touch the same records.
 			w.Config.ValueBytes, w.Late = 1700, 0.35
 			for _, n := range w.Nodes {
@@ -182,7 +178,7 @@
 				w.At(s(24+15*float64(i)), func() { w.cancelRunning(2) })
 			}
 		}},
-		{"9 reports are held back until a new leader has acted, and arrive there", func(w *World) {
+		{25, "reports are held back until a new leader has acted, and arrive there", func(w *World) {
 			w.long(6, "core", 50)
 			for i := range 6 {
 				w.At(s(18+14*float64(i)), func() {
@@ -203,7 +199,7 @@
 				})
 			}
 		}},
-		{"10 the state service is slow, or refuses the leader and then everybody, while users cancel and ask", func(w *World) {
+		{18, "the state service is slow, or refuses the leader and then everybody, while users cancel and ask", func(w *World) {
 			w.long(8, "core", 60)
 			w.Slow = s(1.2)
 			w.At(s(40), func() { w.Slow = 0 })
@@ -213,7 +209,7 @@
 			refuse(w, 45, 12)
 			outage(w, 48, 45)
 		}},
-		{"11 controllers hand over and back, all end, and one returns", func(w *World) {
+		{5, "controllers hand over and back, all end, and one returns", func(w *World) {
 			w.long(6, "core", 40)
 			for i, gap := range []float64{0.3, 0.9, 6} {
 				for k, n := range w.Nodes {
@@ -227,7 +223,7 @@
 				w.At(s(20+30*float64(i)+gap+2), func() { w.cancelRunning(2) })
 			}
 		}},
-		{"12 jobs of two or three tasks end far apart across a change of leader", func(w *World) {
+		{14, "jobs of two or three tasks end far apart across a change of leader", func(w *World) {
 			w.long(16, "core", 30)
 			for i := range 9 {
 				w.At(s(12+10*float64(i)), func() {
@@ -238,7 +234,7 @@
 				})
 			}
 		}},
-		{"13 more work than room, urgent and not, over slow links", func(w *World) {
+		{11, "more work than room, urgent and not, over slow links", func(w *World) {
 			w.Lag, w.NoHire = s(0.15), true
 			w.At(s(105), func() { w.Lag, w.NoHire = 0, false })
 			for i := range 40 {
@@ -249,7 +245,7 @@
 				w.At(s(20+16*float64(i)), func() { w.cancelRunning(2) })
 			}
 		}},
-		{"14 a team is at its limit as the leader changes, some machines can't be asked, and jobs are called off", func(w *World) {
+		{21, "a team is at its limit as the leader changes, some machines can't be asked, and jobs are called off", func(w *World) {
 			w.long(14, "tight", 25)
 			for i := range 5 {
 				w.At(s(16+16*float64(i)), func() {
@@ -264,7 +260,7 @@
 				})
 			}
 		}},
-		{"15 all controllers are away for longer than lease_s", func(w *World) {
+		{26, "all controllers are away for longer than lease_s", func(w *World) {
 			w.long(6, "core", 40)
 			for _, at := range []float64{20, 70} {
 				w.At(s(at-0.2), func() { w.cancelRunning(3) })
@@ -273,7 +269,7 @@
 				}
 			}
 		}},
-		{"16 a leader ends while machines with long tasks can't be reached or don't hear the new one", func(w *World) {
+		{24, "a leader ends while machines with long tasks can't be reached or don't hear the new one", func(w *World) {
 			w.long(10, "core", 60)
 			for i := range 5 {
 				w.At(s(16+17*float64(i)), func() {
@@ -293,7 +289,7 @@
 				})
 			}
 		}},
-		{"17 a leader loses state service and other controllers, and jobs are called off through the new one", func(w *World) {
+		{20, "a leader loses state service and other controllers, and jobs are called off through the new one", func(w *World) {
 			w.long(10, "core", 60)
 			for i := range 2 {
 				w.At(s(20+45*float64(i)), func() {
@@ -306,7 +302,7 @@
 				})
 			}
 		}},
-		{"18 a zone with workers and a controller is cut off for longer than lease_s", func(w *World) {
+		{22, "a zone with workers and a controller is cut off for longer than lease_s", func(w *World) {
 			w.long(10, "core", 50)
 			for i := range 2 {
 				n := w.Nodes[2-i]
@@ -325,31 +321,6 @@
 			w.restart(w.Nodes[0], s(30), s(0.4))
 		}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			for seed := uint64(1); seed <= seeds(); seed++ {
-				w := mixedWorld(t, seed)
-				submitMix(w, 24)
-				w.odd(s(10), s(105))
-				c.trouble(w)
-				w.Run(s(110))
-				w.Drop, w.Copies, w.AtEnd = 0, 0, 0
-				w.Rules.Calm = w.Now
-				w.Run(s(170))
-				w.Rules.End(w.Now)
-				if w.State.Over > 0 {
-					t.Errorf("seed %d: %d transactions too large", seed, w.State.Over)
-				}
-				if len(w.Rules.Broken) > 0 {
-					t.Errorf("seed %d: %d rules broken:\n%s", seed, len(w.Rules.Broken), strings.Join(w.Rules.Broken[:min(5, len(w.Rules.Broken))], "\n"))
-				}
-				for _, id := range slices.Sorted(maps.Keys(w.Jobs)) {
-					if !w.Done[id] {
-						t.Errorf("seed %d: %s has not come to its end", seed, id)
-						break
-					}
-				}
-			}
-		})
+		t.Run(fmt.Sprintf("%d %s", m.number, m.name), func(t *testing.T) { playMeeting(t, m) })
 	}
 }
