--- a/internal/standin/meetings_more_test.go
+++ b/internal/standin/meetings_more_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-func at(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // endLeader ends the leader and starts it again after a while.
 func (w *World) endLeader(back time.Duration) {
@@ -132,9 +132,9 @@
 		{2, "jobs are cancelled in the seconds in which one controller's work changes hands", func(w *World) {
 			w.long(10, "core", 50)
 			for i := range 5 {
-				w.At(at(18+17*float64(i)), func() { w.endLeader(at([]float64{0.3, 6}[i%2])) })
+				w.At(seconds(18+17*float64(i)), func() { w.endLeader(seconds([]float64{0.3, 6}[i%2])) })
 				for _, after := range []float64{-0.3, 0, 0.4, 1, 1.7, 2.5, 3.5, 5} {
-					w.At(at(18+17*float64(i)+after), func() { w.cancelRunning(1) })
+					w.At(seconds(18+17*float64(i)+after), func() { w.cancelRunning(1) })
 				}
 			}
 		}},
@@ -144,18 +144,18 @@
 			for i := range 10 {
 				d := array(protocol.JobID(fmt.Sprintf("j-2%03d", i)), "tight", "standard", 2+i%2, 2, 25)
 				d.Desk = "tight"
-				w.At(at(4+0.5*float64(i)), func() { w.Submit(d) })
+				w.At(seconds(4+0.5*float64(i)), func() { w.Submit(d) })
 			}
 			for i := range 5 {
-				w.At(at(16+17*float64(i)), func() {
+				w.At(seconds(16+17*float64(i)), func() {
 					for k, m := range w.some(0.6) {
 						if k%2 == 0 {
-							m.Hang(at(3 + 4*float64(i)))
+							m.Hang(seconds(3 + 4*float64(i)))
 						}
 					}
-					w.cutSome(0.3, at(3+4*float64(i)))
+					w.cutSome(0.3, seconds(3+4*float64(i)))
 					w.cancelRunning(4)
-					w.At(at(0.5), func() { w.endLeader(at([]float64{0.3, 7}[i%2])) })
+					w.At(seconds(0.5), func() { w.endLeader(seconds([]float64{0.3, 7}[i%2])) })
 				})
 			}
 		}},
@@ -172,19 +172,19 @@
 				}
 			})
 			for i := range 8 {
-				w.At(at(20+10*float64(i)), func() { w.cancelRunning(2) })
+				w.At(seconds(20+10*float64(i)), func() { w.cancelRunning(2) })
 			}
 		}},
 		{9, "an old report reaches every controller just as a new leader begins", func(w *World) {
 			w.long(8, "core", 50)
 			for i := range 6 {
 				end := 18 + 14*float64(i)
-				w.At(at(end-float64(1+2*i)), func() {
+				w.At(seconds(end-float64(1+2*i)), func() {
 					for _, m := range w.some(1) {
 						body := m.body()
-						w.At(at(float64(1+2*i)), func() { // as it ends, and as others take over
+						w.At(seconds(float64(1+2*i)), func() { // as it ends, and as others take over
 							for _, after := range []float64{0.35, 1.2, 1.8, 2.6, 4.2} {
-								w.At(at(after), func() {
+								w.At(seconds(after), func() {
 									for _, n := range w.Nodes {
 										if n.Alive {
 											n.Report(body, func(int, []byte) {})
@@ -195,21 +195,21 @@
 						})
 					}
 				})
-				w.At(at(end), func() { w.endLeader(at([]float64{0.3, 5}[i%2])) })
-				w.At(at(end-0.5), func() { w.cancelRunning(1) })
+				w.At(seconds(end), func() { w.endLeader(seconds([]float64{0.3, 5}[i%2])) })
+				w.At(seconds(end-0.5), func() { w.cancelRunning(1) })
 			}
 		}},
 		{12, "new machines are up within two seconds and get work at once while writes lag, and the leader ends", func(w *World) {
 			for i := range 6 {
-				w.At(at(15+15*float64(i)), func() {
-					w.Slow = at(1.2)
-					w.At(at(8), func() { w.Slow = 0 })
+				w.At(seconds(15+15*float64(i)), func() {
+					w.Slow = seconds(1.2)
+					w.At(seconds(8), func() { w.Slow = 0 })
 					for k := range 6 {
 						w.Machine("small", protocol.Zone([]string{"a", "b"}[k%2]), false, time.Duration(200+300*k)*time.Millisecond)
 						d := array(protocol.JobID(fmt.Sprintf("j-5%02d%d", i, k)), "new", "high", 4, 2, 6)
 						w.At(time.Duration(200*k)*time.Millisecond, func() { w.Submit(d) })
 					}
-					w.At(at(2.5), func() { w.endLeader(at([]float64{0.3, 4}[i%2])) })
+					w.At(seconds(2.5), func() { w.endLeader(seconds([]float64{0.3, 4}[i%2])) })
 				})
 			}
 		}},
@@ -217,35 +217,35 @@
 			w.Ended = w.lookClosely
 			for i := range 50 {
 				d := array(protocol.JobID(fmt.Sprintf("j-4%03d", i)), "close", "high", 1+i%3, 1, 1)
-				w.At(at(4+2*float64(i)), func() { w.submitClosely(d, i%2 == 0) })
+				w.At(seconds(4+2*float64(i)), func() { w.submitClosely(d, i%2 == 0) })
 			}
 			for i := range 4 {
-				w.At(at(25+20*float64(i)), func() { w.endLeader(at([]float64{0.3, 5}[i%2])) })
+				w.At(seconds(25+20*float64(i)), func() { w.endLeader(seconds([]float64{0.3, 5}[i%2])) })
 			}
 		}},
 		{16, "one-task jobs come four a second for minutes, a quarter of them cancelled", func(w *World) {
 			for i := range 400 {
 				d := array(protocol.JobID(fmt.Sprintf("j-3%03d", i)), "one", "standard", 1, 1, 1)
-				w.At(at(4+0.25*float64(i)), func() { w.Submit(d) })
+				w.At(seconds(4+0.25*float64(i)), func() { w.Submit(d) })
 				if i%4 == 0 {
-					w.At(at(4+0.25*float64(i))+time.Duration(w.Rng.IntN(3000))*time.Millisecond, func() { w.Abort(d.UID) })
+					w.At(seconds(4+0.25*float64(i))+time.Duration(w.Rng.IntN(3000))*time.Millisecond, func() { w.Abort(d.UID) })
 				}
 			}
-			w.At(at(50), func() { w.endLeader(at(0.3)) })
+			w.At(seconds(50), func() { w.endLeader(seconds(0.3)) })
 		}},
 		{19, "a command of a leader that has ended or been deposed arrives after the new leader's", func(w *World) {
 			w.Held = 0.7
 			w.long(10, "core", 50)
 			for i := range 6 {
-				w.At(at(18+14*float64(i)), func() {
+				w.At(seconds(18+14*float64(i)), func() {
 					w.cancelRunning(3)
 					n := w.leader()
 					if i%2 == 0 {
-						w.At(at(0.6), func() { w.endLeader(at(0.3)) })
+						w.At(seconds(0.6), func() { w.endLeader(seconds(0.3)) })
 						return
 					}
 					n.NoState, n.NoPeers = true, true
-					w.At(at(12), func() { n.NoState, n.NoPeers = false, false })
+					w.At(seconds(12), func() { n.NoState, n.NoPeers = false, false })
 				})
 			}
 		}},
