One walk for the quickest type, one conversion of times, urgency worked out once a plan

Read once more: `patience` and `bringUp` walked the machine types alike; five places turned milliseconds into a duration by hand beside `millis`; `urgent` was worked out again for each job without a machine; the stand-ins had the request whose answer nobody hears three times. No change of behaviour.

--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -135,7 +135,7 @@
 func (c *Core) reasonToLeave(e *bk.Machine, m *mstate, cutOff bool) string {
 	rec := &e.Rec
 	fl := c.flavor(rec.Build)
-	age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
+	age := millis(c.now.Wall - rec.Since)
 	if rec.Session == 0 {
 		if fl == nil {
 			return ""
@@ -249,7 +249,7 @@
 	// A machine that reported but was never listed counts as missing too, once
 	// it must have been.
 	for id, e := range c.replica.Machines {
-		if !have[id] && c.listed[id] == nil && time.Duration(c.now.Wall-e.Rec.Since)*time.Millisecond > 3*c.cfg.ListLag+5*time.Second {
+		if !have[id] && c.listed[id] == nil && millis(c.now.Wall-e.Rec.Since) > 3*c.cfg.ListLag+5*time.Second {
 			c.listed[id] = &listing{host: protocol.Host{UID: id}, seenAt: v.Asked}
 		}
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -215,6 +215,8 @@
 // steady is the wall-free time as x/time/rate wants it.
 func (c *Core) steady() time.Time { return time.Unix(0, int64(c.now.Steady)) }
 
+func millis(m protocol.Millis) time.Duration { return time.Duration(m) * time.Millisecond }
+
 func (c *Core) since(t protocol.Instant) time.Duration { return c.now.Steady.Sub(t) }
 
 // jitter gives d, give or take a quarter.
--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -55,13 +55,7 @@
 
 // patience is how long a job's tasks may wait for machines that are in use.
 func (c *Core) patience(q *queued) time.Duration {
-	boot := time.Duration(0)
-	for i := range c.flavors {
-		ready := protocol.Seconds(c.flavors[i].ReadyS)
-		if machineFits(&c.flavors[i], q.rec.Desc) > 0 && (boot == 0 || ready < boot) {
-			boot = ready
-		}
-	}
+	boot := c.quickest(q.rec.Desc, func(f *protocol.Flavor) time.Duration { return protocol.Seconds(f.ReadyS) })
 	slack := time.Duration(0)
 	if !q.late && !q.aged {
 		slack = millis(q.startBy - c.now.Wall)
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -20,6 +20,7 @@
 	// same as it was at the submission.
 	startBy protocol.Millis
 	beginBy protocol.Millis
+	urgent  bool                  // they had to begin sooner than machines can be relied on to be rented
 	leaves  map[protocol.Sku]bool // machine types that it leaves to others
 	zones   map[protocol.Zone]int
 	placed  int
@@ -66,6 +67,7 @@
 		q := &queued{id: id, rec: r, order: c.order(r.Desc), zones: map[protocol.Zone]int{}, done: b.viewDone(id).Len()}
 		q.turn = q.order
 		c.urgency(q)
+		q.urgent = c.urgent(q)
 		byJob[id] = q
 		out = append(out, q)
 	}
@@ -78,7 +80,7 @@
 		}
 	}
 	for _, q := range out {
-		waited := time.Duration(c.now.Wall-q.rec.Sent) * time.Millisecond
+		waited := millis(c.now.Wall - q.rec.Sent)
 		q.aged = waited > c.cfg.AgeAfter && q.placed == 0 && q.done == 0
 		q.old = waited > 2*c.cfg.AgeAfter && !q.aged && !q.rec.Desc.Gang()
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -92,7 +92,7 @@
 	c.planned.reserved = map[int]bool{}
 	c.planned.free = slices.DeleteFunc(slices.Clone(rooms), func(r *room) bool { return r.closed })
 	queue := c.queue(b, rooms)
-	c.warm.observe(c.now.Steady, queue, c.urgent)
+	c.warm.observe(c.now.Steady, queue)
 	c.warm.choose(rooms, c.mayUse)
 	c.planned.contended = c.contended()
 	c.placeOld(b, queue, rooms)
@@ -370,13 +370,12 @@
 // machines in use does so; the rest is demand.
 func (c *Core) unplaced(q *queued, rooms []*room, n int) {
 	c.noteContention(q)
-	urgent := c.urgent(q)
-	if !urgent {
+	if !q.urgent {
 		n -= c.tasksToFollow(q, rooms, n)
 	}
 	if n > 0 && q.rec.Claim == c.run {
 		c.demand = append(c.demand, unmetDemand{job: q.id, desc: q.rec.Desc, tasks: n, zone: q.onlyZone(), order: q.order,
-			sent: q.rec.Sent, urgent: urgent})
+			sent: q.rec.Sent, urgent: q.urgent})
 	}
 }
 
--- a/internal/coordination/rentals_test.go
+++ b/internal/coordination/rentals_test.go
@@ -29,10 +29,12 @@
 		Bundle: "b", ReckonS: reckon}
 }
 
-// job is a queued job whose tasks had this long to begin when it came, just now.
+// testJob is a queued job whose tasks had this long to begin when it came, just now.
 func (c *Core) testJob(d *protocol.Job, slack time.Duration) *queued {
 	by := c.now.Wall + protocol.Millis(slack.Milliseconds())
-	return &queued{id: d.UID, rec: &bk.JobRecord{Desc: d, Claim: c.run, Sent: c.now.Wall}, startBy: by, beginBy: by}
+	q := &queued{id: d.UID, rec: &bk.JobRecord{Desc: d, Claim: c.run, Sent: c.now.Wall}, startBy: by, beginBy: by}
+	q.urgent = c.urgent(q)
+	return q
 }
 
 func machineOf(f *protocol.Flavor, id protocol.MachineID, spot bool) *room {
@@ -150,8 +152,8 @@
 			machineOf(&smallType, "m-3", true), machineOf(&smallType, "m-4", true)}
 		slack := time.Duration(c.slack) * time.Second
 		other := work(c.other, "other", 10*time.Minute)
-		core.warm.observe(core.now.Steady, []*queued{work(c.urgent, "urgent", slack), other}, core.urgent)
-		core.warm.observe(core.now.Steady, []*queued{work(c.now, "urgent", slack), other}, core.urgent)
+		core.warm.observe(core.now.Steady, []*queued{work(c.urgent, "urgent", slack), other})
+		core.warm.observe(core.now.Steady, []*queued{work(c.now, "urgent", slack), other})
 		core.warm.choose(rooms, core.mayUse)
 		var got []protocol.MachineID
 		for _, r := range rooms {
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -113,7 +113,7 @@
 			r.used = append(r.used, held{a.Job, a.Try, n, j.Desc, order})
 		}
 		if rec.Loaner && !r.closed {
-			age := time.Duration(c.now.Wall-rec.Since) * time.Millisecond
+			age := millis(c.now.Wall - rec.Since)
 			r.margin = NearBoundary(id, age, c.cfg.SpotPeriod, c.cfg.SpotMargin)
 			if t := c.spot[priceKey{rec.Build, rec.Yard}]; t != nil && !t.Open() || r.margin {
 				r.closed = true
--- a/internal/coordination/warmpool.go
+++ b/internal/coordination/warmpool.go
@@ -37,7 +37,7 @@
 func newWarmPool() warmPool { return warmPool{classes: map[string]*urgentClass{}} }
 
 // observe takes in the unfinished jobs.
-func (w *warmPool) observe(now protocol.Instant, queue []*queued, urgent func(*queued) bool) {
+func (w *warmPool) observe(now protocol.Instant, queue []*queued) {
 	fade := 1 - min(float64(now.Sub(w.at))/float64(peakFades), 1)
 	w.at = now
 	for _, class := range w.classes {
@@ -47,7 +47,7 @@
 	for _, q := range queue {
 		tasks := float64(q.rec.Desc.Pieces - q.done)
 		total += tasks * q.rec.Desc.Cores
-		if !urgent(q) {
+		if !q.urgent {
 			continue
 		}
 		pressing += tasks * q.rec.Desc.Cores
@@ -105,15 +105,20 @@
 	return price / max(r.fl.Cores, eps)
 }
 
-// bringUp is how long it takes until a task runs on a machine that is rented for it;
-// the quickest type decides.
+// bringUp is how long it takes until a task runs on a machine that is rented for it.
 func (c *Core) bringUp(d *protocol.Job) time.Duration {
+	return c.quickest(d, func(f *protocol.Flavor) time.Duration { return startTime(f, d) })
+}
+
+// quickest is the least time that a machine type which fits the job needs.
+func (c *Core) quickest(d *protocol.Job, needs func(*protocol.Flavor) time.Duration) time.Duration {
 	best := time.Duration(0)
 	for i := range c.flavors {
-		if machineFits(&c.flavors[i], d) == 0 {
+		f := &c.flavors[i]
+		if machineFits(f, d) == 0 {
 			continue
 		}
-		if t := startTime(&c.flavors[i], d); best == 0 || t < best {
+		if t := needs(f); best == 0 || t < best {
 			best = t
 		}
 	}
@@ -135,5 +140,3 @@
 	slack := millis(q.beginBy - q.rec.Sent)
 	return slack < time.Duration(c.cfg.IdleFactor*float64(c.bringUp(q.rec.Desc)))
 }
-
-func millis(m protocol.Millis) time.Duration { return time.Duration(m) * time.Millisecond }
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -57,7 +57,7 @@
 func (c *Core) calledOffFor(id protocol.JobID) time.Duration {
 	d := time.Duration(0)
 	if e := c.replica.Jobs[id]; e != nil && e.Rec.CalledOff() {
-		d = time.Duration(c.now.Wall-e.Rec.OffAt) * time.Millisecond
+		d = millis(c.now.Wall - e.Rec.OffAt)
 	}
 	if k, ok := c.told[id]; ok {
 		d = max(d, c.since(k.at))
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -32,15 +32,22 @@
 // holdCommand carries a direct command out seconds late, whatever its sender has
 // become meanwhile; nobody answers it.
 func (n *Node) holdCommand(v coordination.SendDo) {
-	w, life := n.w, n.life
-	w.At(time.Duration(2000+w.Rng.IntN(14000))*time.Millisecond, func() {
+	w := n.w
+	n.unanswered(time.Duration(2000+w.Rng.IntN(14000))*time.Millisecond, 2*time.Second, func() {
 		if m := w.Workers[v.Machine]; m != nil && !m.Gone {
 			m.Do(v.Orders)
 		}
-	})
-	w.At(2*time.Second, func() {
+	}, coordination.DoResult{Machine: v.Machine, Err: errLost})
+}
+
+// unanswered carries something out after a while; whoever asked for it hears nothing
+// until its time is up.
+func (n *Node) unanswered(after, wait time.Duration, do func(), lost coordination.Input) {
+	life := n.life
+	n.w.At(after, do)
+	n.w.At(wait, func() {
 		if n.Alive && n.life == life {
-			n.step(coordination.DoResult{Machine: v.Machine, Err: errLost})
+			n.step(lost)
 		}
 	})
 }
@@ -53,24 +60,13 @@
 		n.call(false, wait, func() coordination.Input { return refused }, lost)
 		return
 	}
-	if _, commits := lost.(coordination.CommitResult); commits && w.Rng.Float64() < w.Late {
-		life := n.life
-		w.At(time.Duration(2000+w.Rng.IntN(10000))*time.Millisecond, func() { do() })
-		w.At(wait, func() {
-			if n.Alive && n.life == life {
-				n.step(lost)
-			}
-		})
+	_, commits := lost.(coordination.CommitResult)
+	if commits && w.Rng.Float64() < w.Late {
+		n.unanswered(time.Duration(2000+w.Rng.IntN(10000))*time.Millisecond, wait, func() { do() }, lost)
 		return
 	}
-	if _, commits := lost.(coordination.CommitResult); commits && w.Unheard > 0 && w.Rng.Float64() < w.Unheard {
-		life := n.life
-		w.At(w.delay(), func() { do() })
-		w.At(wait, func() {
-			if n.Alive && n.life == life {
-				n.step(lost)
-			}
-		})
+	if commits && w.Unheard > 0 && w.Rng.Float64() < w.Unheard {
+		n.unanswered(w.delay(), wait, func() { do() }, lost)
 		return
 	}
 	if w.Slow > 0 {
