--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -57,12 +57,15 @@
 		}
 	}
 	q.leaves = c.largeTypes(d)
-	p.onFree(func(r *room) bool { return c.fetchTime(r, d) < slowFetch })
-	p.byStopping(func(r *room) bool { return c.fetchTime(r, d) < slowFetch })
-	p.onFree(func(*room) bool { return true })
-	p.byStopping(func(*room) bool { return true })
+	warm := func(r *room) bool { return c.fetchTime(r, d) < slowFetch }
+	any := func(*room) bool { return true }
+	p.onFree(warm)
+	p.byStopping(warm)
+	p.onFree(any)
+	p.byStopping(any)
+	p.byChoice()
 	q.leaves = nil
-	p.onFree(func(*room) bool { return true })
+	p.onFree(any)
 	if p.left > 0 && q.rec.Claim == c.run {
 		c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: p.left, zone: q.onlyZone(), order: q.order,
 			sent: q.rec.Sent, urgent: true})
@@ -132,31 +135,85 @@
 	if p.left <= 0 || !p.ours {
 		return
 	}
-	c, d := p.c, p.q.rec.Desc
+	for _, r := range p.cheapest(func(r *room) bool { return p.c.mine(r.rec) && good(r) }) {
+		p.stopOn(r, true)
+	}
+}
+
+// byChoice makes room where own machines don't do, on those of other controllers too:
+// the claimant puts its choice on record, and their owners stop tasks there.
+func (p *replicaPlacement) byChoice() {
+	c, q := p.c, p.q
+	if p.left <= 0 {
+		return
+	}
+	chosen := p.cheapest(func(r *room) bool { return slices.Contains(q.rec.Room, r.id) })
+	room := 0
+	for _, r := range chosen {
+		room += min(c.freeable(r, q), p.most(r))
+	}
+	if p.ours && room < p.left && p.b.hasRoom(p.b.needs("", q.id)) {
+		chosen = p.choose()
+	}
+	for _, r := range chosen {
+		p.stopOn(r, slices.Contains(c.replica.Jobs[q.id].Rec.Room, r.id))
+	}
+}
+
+// choose puts machines on record on which room is made, if any do.
+func (p *replicaPlacement) choose() []*room {
+	var choice []share
+	left := p.left
+	for _, r := range p.cheapest(func(*room) bool { return true }) {
+		if n := min(p.c.freeable(r, p.q), p.most(r)); n > 0 && left > 0 {
+			choice = append(choice, share{r, min(n, left)})
+			left -= n
+		}
+	}
+	if len(choice) == 0 || !p.c.recordable(choice) {
+		return nil
+	}
+	p.b.writeRoom(p.q.id, choice, "room is made for replicas")
+	var rooms []*room
+	for _, s := range choice {
+		rooms = append(rooms, s.r)
+	}
+	return rooms
+}
+
+// cheapest lists machines on which lower ranked tasks can be stopped for replicas, those
+// first where that costs least.
+func (p *replicaPlacement) cheapest(good func(*room) bool) []*room {
+	c := p.c
 	cost := map[*room]float64{}
 	var list []*room
 	for _, r := range p.rooms {
-		if r.coming || r.closed || r.m == nil || !c.mine(r.rec) || p.q.leaves[r.rec.Build] || !c.mayUse(d, r) || !good(r) || c.freeable(r, p.q) == 0 {
-			continue
+		if !r.coming && !r.closed && !p.q.leaves[r.rec.Build] && c.mayUse(p.q.rec.Desc, r) && good(r) && c.freeable(r, p.q) > 0 {
+			cost[r] = c.stopCost(r, p.q)
+			list = append(list, r)
 		}
-		cost[r] = c.stopCost(r, p.q)
-		list = append(list, r)
 	}
 	slices.SortStableFunc(list, func(a, z *room) int { return cmp.Compare(cost[a], cost[z]) })
-	for _, r := range list {
-		if p.left <= 0 {
-			return
-		}
-		if n := min(c.freeable(r, p.q), p.most(r)); n > 0 {
-			c.stopFor(r, p.q, n)
-			p.q.put(r, n, 0)
-			c.planned.busy[r.id] = true
-			c.planned.expects[r.id] = true
-			p.note(r.id, n)
-			p.nextOpen(n)
-			p.left -= n
-		}
+	return list
+}
+
+// stopOn keeps what replicas are to take of a machine, and stops lower ranked tasks
+// there if that is decided and the machine is this run's.
+func (p *replicaPlacement) stopOn(r *room, decided bool) {
+	c := p.c
+	n := min(c.freeable(r, p.q), p.most(r))
+	if n <= 0 {
+		return
 	}
+	if decided && c.mine(r.rec) && r.m != nil {
+		c.stopFor(r, p.q, n)
+	}
+	p.q.put(r, n, 0)
+	c.planned.busy[r.id] = true
+	c.planned.expects[r.id] = true
+	p.note(r.id, n)
+	p.nextOpen(n)
+	p.left -= n
 }
 
 // stopFor stops as few lower ranked tasks on an own machine as n replicas need.
@@ -183,6 +240,9 @@
 
 // beingStopped counts the tasks that a stop is under way for.
 func (c *Core) beingStopped(r *room, h held) int {
+	if r.m == nil {
+		return 0
+	}
 	n := 0
 	for t, s := range r.m.stops {
 		if t.Job == h.job && s.try == h.try {
--- /dev/null
+++ b/internal/standin/daemon_test.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+)
+
+// up counts the replicas of a daemon that run now.
+func (w *World) up(id protocol.JobID) (n int) {
+	for _, m := range w.Workers {
+		for t, k := range m.tasks {
+			if t.Job == id && k.stage == protocol.TaskRunning && !m.Gone && !m.Cut && !m.hung {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// taskStages are the tasks of a job that are on machines.
+func (w *World) taskStages(id protocol.JobID) map[protocol.Task]protocol.TaskStage {
+	on := map[protocol.Task]protocol.TaskStage{}
+	for _, m := range w.Workers {
+		for t, k := range m.tasks {
+			if t.Job == id && k.stage != protocol.Ended && !m.Gone {
+				on[t] = k.stage
+			}
+		}
+	}
+	return on
+}
+
+// hosts lists the machines on which a job has tasks, in order.
+func (w *World) hosts(id protocol.JobID) (out []*Worker) {
+	for _, name := range slices.Sorted(maps.Keys(w.Workers)) {
+		m := w.Workers[name]
+		for t, k := range m.tasks {
+			if t.Job == id && k.stage != protocol.Ended && !m.Gone {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// A daemon's replicas come back whatever becomes of their machines and of the
+// controllers, and only a cancellation ends them.
+func TestDaemons(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		pieces  int
+		change  func(d *protocol.Job)
+		trouble func(w *World)
+		back    float64 // seconds until all replicas are up again
+	}{
+		{"quiet", 4, nil, func(*World) {}, 0},
+		{"its machine dies", 3, nil, func(w *World) { w.Lose(w.hosts("j-1")[0].ID) }, 30},
+		{"its machine loses the network for good", 3, nil, func(w *World) { w.hosts("j-1")[0].Cut = true }, 60},
+		{"its machine begins a new session", 3, nil, func(w *World) { w.hosts("j-1")[0].Reboot() }, 8},
+		{"all controllers end", 4, nil, func(w *World) {
+			w.Lose(w.hosts("j-1")[0].ID)
+			for _, n := range w.Nodes {
+				w.restart(n, 0, 3*time.Second)
+			}
+		}, 50},
+		{"the state service is down as its machine dies", 4, nil, func(w *World) {
+			w.State.Down = true
+			w.Lose(w.hosts("j-1")[0].ID)
+			w.At(10*time.Second, func() { w.State.Down = false })
+		}, 50},
+		{"a leader is refused", 4, nil, func(w *World) {
+			n := w.leader()
+			n.Refused = true
+			w.At(20*time.Second, func() { n.Refused = false })
+			w.Lose(w.hosts("j-1")[0].ID)
+		}, 50},
+		{"scattered over zones", 5, func(d *protocol.Job) { d.Scatter = true }, func(w *World) { w.Lose(w.hosts("j-1")[0].ID) }, 30},
+		{"its spot machine is taken with notice", 2, func(d *protocol.Job) { d.Loaners, d.Cores = true, 3 }, func(w *World) {
+			for _, m := range w.hosts("j-1") {
+				w.Recall(m.ID, 9*time.Second)
+			}
+		}, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= seeds(); seed++ {
+				w := mixedWorld(t, seed)
+				d := daemon("j-1", c.pieces)
+				if c.change != nil {
+					c.change(d)
+				}
+				w.At(seconds(4), func() { w.Submit(d) })
+				w.Run(seconds(20))
+				if w.up("j-1") != c.pieces {
+					t.Fatalf("seed %d: %d of %d replicas are up", seed, w.up("j-1"), c.pieces)
+				}
+				c.trouble(w)
+				w.Run(seconds(c.back + 0.1))
+				if w.up("j-1") != c.pieces {
+					t.Errorf("seed %d: %d of %d replicas are up again", seed, w.up("j-1"), c.pieces)
+				}
+				for _, m := range w.Workers {
+					m.Cut = false
+				}
+				w.Run(seconds(30))
+				w.Rules.End(w.Now)
+				if w.Done["j-1"] || len(w.Rules.Broken) > 0 {
+					t.Errorf("seed %d: ended %v, broken %v", seed, w.Done["j-1"], w.Rules.Broken)
+				}
+				w.Abort("j-1")
+				w.Run(seconds(8))
+				if w.up("j-1") != 0 || w.Rules.job("j-1").told != protocol.Withdrawn {
+					t.Errorf("seed %d: %d replicas are up after the cancellation, it is called %q", seed, w.up("j-1"), w.Rules.job("j-1").told)
+				}
+				w.Run(seconds(40))
+				if w.up("j-1") != 0 || len(w.Rules.Broken) > 0 {
+					t.Errorf("seed %d: %d replicas are up, broken %v", seed, w.up("j-1"), w.Rules.Broken)
+				}
+			}
+		})
+	}
+}
+
+// Replicas of high rank take the place of lower ranked tasks on full machines, and no
+// more of them than they need; replicas of low rank do not.
+func TestReplicasMakeRoom(t *testing.T) {
+	for _, c := range []struct {
+		rank protocol.Rank
+		up   int
+	}{{"critical", 3}, {"low", 0}} {
+		w := mixedWorld(t, 4)
+		w.NoHire = true
+		w.At(seconds(3), func() { w.Submit(array("j-2", "l", "standard", 32, 1, 600)) })
+		w.Run(seconds(15))
+		before := len(w.taskStages("j-2"))
+		d := daemon("j-1", 3)
+		d.Rank = c.rank
+		w.Submit(d)
+		w.Run(seconds(10))
+		after := len(w.taskStages("j-2"))
+		if before != 32 || w.up("j-1") != c.up || before-after != c.up || len(w.Rules.Broken) > 0 {
+			t.Errorf("%s: %d replicas are up, %d of %d other tasks left, broken %v", c.rank, w.up("j-1"), after, before, w.Rules.Broken)
+		}
+	}
+}
+
+// A replica that ends as soon as it starts is tried ever less often, and keeps nothing
+// else from running.
+func TestReplicaThatEndsAtOnce(t *testing.T) {
+	for _, lane := range []string{laneEnds, laneFails} {
+		w := mixedWorld(t, 6)
+		d := daemon("j-1", 2)
+		d.Lane = lane
+		w.At(seconds(3), func() { w.Submit(d) })
+		good := daemon("j-2", 4)
+		w.At(seconds(30), func() { w.Submit(good) })
+		w.Run(seconds(40))
+		early := w.Starts
+		w.Run(seconds(120))
+		if late := w.Starts - early; w.up("j-2") != 4 || late < 4 || late > 2*120/20 || w.Done["j-1"] {
+			t.Errorf("%s: %d starts in two minutes, %d good replicas are up, done %v", lane, late, w.up("j-2"), w.Done["j-1"])
+		}
+		if len(w.Rules.Broken) > 0 {
+			t.Errorf("%s: %v", lane, w.Rules.Broken)
+		}
+	}
+}
+
+// A daemon all of whose replicas together need more than its team's limit can never
+// run; one that fits keeps the limit with others of its team.
+func TestDaemonsOfLimitedTeam(t *testing.T) {
+	w := mixedWorld(t, 2)
+	w.Config.Teams = map[string]coordination.Team{"tight": {CoresMax: 10}}
+	big := daemon("j-1", 11)
+	big.Desk = "tight"
+	w.At(seconds(3), func() { w.Unfit(big.UID, protocol.Encode(big)) })
+	for i, id := range []protocol.JobID{"j-2", "j-3"} {
+		d := daemon(id, 6)
+		d.Desk = "tight"
+		w.At(seconds(4+float64(i)), func() { w.Submit(d) })
+	}
+	w.Run(seconds(30))
+	if n := w.up("j-2") + w.up("j-3"); n != 10 || len(w.Rules.Broken) > 0 || w.Rules.job("j-1").accepted {
+		t.Errorf("%d replicas of 10 cores are up, broken %v", n, w.Rules.Broken)
+	}
+}
--- /dev/null
+++ b/internal/standin/golden_maker_test.go
@@ -0,0 +1,55 @@
+//go:build golden
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+	"tillerarch/internal/transport"
+)
+
+// TestWriteGolden writes the records of a busy day, and a frame between controllers, as
+// the version that it is built with writes them. testdata/production was made by running
+// it at the commit that deploy/service.toml names as production:
+//
+//	GOLDEN=DIR go test -tags golden -run TestWriteGolden ./internal/standin
+func TestWriteGolden(t *testing.T) {
+	w := NewWorld(42, 3, testFlavors, testTeams())
+	for i := range 70 {
+		w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), i%5 == 4, 0)
+	}
+	submitMix(w, 30)
+	for i := range 4 {
+		d := &protocol.Job{UID: protocol.JobID(fmt.Sprintf("j-7%05d", i)), Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "standard",
+			Pieces: 900, Cores: 1, MemGB: 1, Bundle: "img-1", PullGB: 1, ReckonS: 9}
+		w.At(time.Duration(2+i)*time.Second, func() { w.Submit(d) })
+	}
+	w.Run(40 * time.Second)
+	for _, id := range w.running()[:2] {
+		w.Abort(id)
+	}
+	w.Run(150 * time.Millisecond)
+	records, err := json.MarshalIndent(w.State.Items(bk.Prefix), "", " ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame, err := transport.AppendFrame(nil, coordination.Hint{Member: "stall-1", StateOK: true, Run: "stall-1#7", Fit: true, Rev: 41,
+		Seen:    []coordination.Seen{{Machine: "m-000231", Session: 2, Tally: 9}},
+		Intents: []coordination.Intent{{Job: "j-000412", Rev: 40}}, Acks: []protocol.JobID{"j-000413"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, data := range map[string][]byte{"records.json": records, "hint.gob": frame} {
+		if err := os.WriteFile(filepath.Join(os.Getenv("GOLDEN"), name), data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -97,7 +97,7 @@
 	j.accepted = true
 	j.askedAt = 0
 	if stage == protocol.Done {
-		if j.desc == nil || len(j.done) < j.desc.Pieces {
+		if j.desc == nil || j.desc.Daemon() || len(j.done) < j.desc.Pieces {
 			r.broken("not_done", "%s with %d tasks done", id, len(j.done))
 		}
 	}
@@ -192,6 +192,16 @@
 	}
 }
 
+// replicas counts the replicas of a daemon that are on a machine.
+func (r *Rules) replicas(id protocol.JobID, d *protocol.Job) (n int) {
+	for piece := range d.Pieces {
+		if r.n[protocol.Task{Job: id, Piece: piece}] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Room notes whether there is room, now, for some of what waits of a job.
 func (r *Rules) Room(now time.Duration, id protocol.JobID, room bool) {
 	j := r.job(id)
@@ -243,7 +253,7 @@
 				groups[n] = &tally{}
 			}
 			groups[n].all++
-			if len(j.done) >= j.desc.Pieces {
+			if len(j.done) >= j.desc.Pieces || j.desc.Daemon() && r.replicas(id, j.desc) == j.desc.Pieces {
 				groups[n].served++
 			}
 		}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -28,6 +28,11 @@
 	Ops   int  // the most changes of a transaction
 	Max   int  // the largest value that was written
 
+	Rate     float64 // changes a second that it takes, in bursts of a second's worth; 0: any
+	Throttle int     // transactions refused for that
+	spare    float64 // changes that it takes at once
+	spareAt  time.Duration
+
 	rev    protocol.Rev
 	items  map[string]item
 	holds  map[protocol.LeaseID]time.Duration // when they end
@@ -46,6 +51,8 @@
 
 // Expire ends the leases that are over and removes their keys.
 func (s *State) Expire(now time.Duration) {
+	s.spare = min(s.spare+s.Rate*(now-s.spareAt).Seconds(), s.Rate)
+	s.spareAt = now
 	for _, id := range slices.Sorted(maps.Keys(s.holds)) {
 		end := s.holds[id]
 		if now <= end {
@@ -90,6 +97,11 @@
 		s.Over++
 		return 400, protocol.MultiAnswer{Error: "too large"}
 	}
+	if s.Rate > 0 && s.spare < float64(len(m.Then)) {
+		s.Throttle++
+		return 429, protocol.MultiAnswer{}
+	}
+	s.spare -= float64(len(m.Then))
 	for _, t := range m.Then {
 		if t.Tenancy != 0 {
 			if _, ok := s.holds[t.Tenancy]; !ok {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -16,6 +16,15 @@
 	next  time.Duration // when its stage ends
 }
 
+// Classes whose tasks fail everywhere, and whose replicas end by themselves at once.
+const (
+	laneFails = "bad"
+	laneEnds  = "ends"
+)
+
+// never is when the stage of a task ends that has no end of its own.
+const never = time.Duration(1<<63 - 1)
+
 // Worker is a machine with its worker.
 type Worker struct {
 	w       *World
@@ -185,7 +194,7 @@
 		case protocol.Gathering:
 			m.end(t, k, "alone")
 		case protocol.TaskRunning:
-			if m.Faulty || d.Lane == "bad" {
+			if m.Faulty || d.Lane == laneFails {
 				m.end(t, k, protocol.CauseError)
 			} else {
 				m.end(t, k, protocol.CauseDone)
@@ -211,6 +220,9 @@
 
 func (m *Worker) run(t protocol.Task, k *task, d *protocol.Job) {
 	k.next = m.w.Now + time.Duration(d.ReckonS*(0.5+m.w.Rng.Float64())*float64(time.Second))
+	if d.Daemon() && d.Lane != laneFails && d.Lane != laneEnds && !m.Faulty {
+		k.next = never
+	}
 	m.set(t, k, protocol.TaskRunning)
 }
 
@@ -296,6 +308,7 @@
 			m.changed = true
 			nk := &task{try: o.Try, stage: protocol.Fetching}
 			m.tasks[o.Task] = nk
+			w.Starts++
 			switch used := m.used(o.Task); {
 			case d == nil:
 				nk.stage, nk.cause = protocol.Ended, protocol.CauseNoSuch
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,7 @@
 	NoWorker bool // cut from the workers alone
 	NoPeers  bool // cut from the other controllers
 	NoUsers  bool // cut from the users
+	Old      bool // runs the version in production before the upgrade
 	frozen   bool // it stands still while its clocks run on
 	stuck    []coordination.Input
 	life     int
@@ -81,6 +82,7 @@
 	Lag      time.Duration           // most by which messages take longer
 	Ended    func(protocol.JobID)    // hears of each job's end, if it is not nil
 	AtEnd    float64                 // part of the jobs that are called off at the moment of their end
+	Starts   int                     // start commands that workers have taken
 	Done     map[protocol.JobID]bool
 	Saved    map[protocol.JobID]int // tasks that saved when they were stopped
 	Trace    func(string)
@@ -109,8 +111,9 @@
 		Cancel: w.Rules.Cancel, Peers: nodes - 1, WriteRPS: 60, TxnOps: 8, ValueBytes: 8192, ListLag: 4 * time.Second, FollowGap: 40 * time.Millisecond,
 		Tuning: coordination.DefaultTuning()}
 	for i := 0; i < nodes; i++ {
-		n := &Node{w: w, Member: protocol.Member(fmt.Sprintf("stall-%d", i)), drift: 1 + float64(i)*0.0002}
-		w.Nodes = append(w.Nodes, n)
+		w.Nodes = append(w.Nodes, &Node{w: w, Member: protocol.Member(fmt.Sprintf("stall-%d", i)), drift: 1 + float64(i)*0.0002})
+	}
+	for _, n := range w.Nodes {
 		n.Start()
 	}
 	w.Every(100*time.Millisecond, func() {
@@ -172,6 +175,14 @@
 	n.reqs = map[coordination.ReqID]func(int, []byte){}
 	cfg := n.w.Config
 	cfg.Member = n.Member
+	for _, o := range n.w.Nodes {
+		if o != n {
+			cfg.Members = append(cfg.Members, o.Member)
+		}
+	}
+	if n.Old {
+		cfg.NextLimits = nil
+	}
 	cfg.Seed = uint64(n.life)
 	n.Core = coordination.New(cfg, n.time())
 	n.tick(n.life)
@@ -265,8 +276,8 @@
 		}
 	case coordination.Commit:
 		n.state(wait, func() coordination.Input {
-			status, a := w.State.Multi(v.Multi)
-			o := map[int]bk.Outcome{200: bk.Applied, 409: bk.Conflict, 503: bk.Refused, 400: bk.NoLease}[status]
+			status, a := w.State.Multi(n.asWritten(v.Multi))
+			o := map[int]bk.Outcome{200: bk.Applied, 409: bk.Conflict, 429: bk.Busy, 503: bk.Refused, 400: bk.NoLease}[status]
 			if a.Error == "too large" {
 				o = bk.Invalid
 			}
@@ -277,7 +288,7 @@
 			if w.State.Down {
 				return coordination.LoadResult{Err: errLost}
 			}
-			return coordination.LoadResult{Items: w.State.Items(bk.Prefix), From: w.State.rev, Until: w.State.rev}
+			return coordination.LoadResult{Items: n.asRead(w.State.Items(bk.Prefix)), From: w.State.rev, Until: w.State.rev}
 		}, coordination.LoadResult{Err: errLost}, coordination.LoadResult{Err: errLost})
 	case coordination.Follow:
 		w.follow(n, n.life, v.From, w.Now+3*time.Second)
@@ -358,6 +369,7 @@
 		case old:
 			n.step(coordination.FollowResult{From: from, Err: bk.ErrTooOld})
 		case len(f.News) > 0 || w.Now > until:
+			f.News = n.newsAsRead(f.News)
 			n.step(coordination.FollowResult{From: from, News: &f})
 		default:
 			w.follow(n, life, from, until)
