--- a/internal/coordination/warmpool.go
+++ b/internal/coordination/warmpool.go
@@ -46,6 +46,9 @@
 	total, pressing := 0.0, 0.0
 	for _, q := range queue {
 		tasks := float64(q.rec.Desc.Pieces - q.done)
+		if q.rec.Desc.Daemon() {
+			tasks -= float64(q.placed) // what runs will not ask for a machine again
+		}
 		total += tasks * q.rec.Desc.Cores
 		if !q.urgent {
 			continue
