--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -207,7 +207,9 @@
 		return s + 1e6
 	}
 	m := r.m
-	if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Bundle) {
+	if j.Daemon() {
+		s += c.fetchTime(r, j).Seconds()
+	} else if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Bundle) {
 		s += min(j.PullGB/r.fl.FetchGBPerS, 60)
 	}
 	switch {
@@ -383,7 +385,9 @@
 		try := c.jstate(q.id).next
 		b.assign(r.id, q.id, tasks, try)
 		c.placed(b, q, r, n, try)
-		if c.pressing(q) && c.waitsForReport(r) {
+		// Whether a report waits at another owner is not known here: a replica can't wait
+		// for the next one.
+		if c.pressing(q) && (c.waitsForReport(r) || q.rec.Desc.Daemon() && r.rec.Owner != c.run) {
 			c.hurry(b, r.id)
 		}
 	} else {
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -61,9 +61,15 @@
 	any := func(*room) bool { return true }
 	p.onFree(warm)
 	p.byStopping(warm)
+	p.byChoice(warm)
+	// One on each machine that has to fetch the image: the more machines have it, the
+	// more of the next replicas begin at once.
+	p.spread = true
+	p.onFree(any)
+	p.spread = false
 	p.onFree(any)
 	p.byStopping(any)
-	p.byChoice()
+	p.byChoice(any)
 	q.leaves = nil
 	p.onFree(any)
 	if p.left > 0 && q.rec.Claim == c.run {
@@ -82,6 +88,8 @@
 	open  []int // replicas to place, where it does
 	left  int
 	here  map[protocol.MachineID]int // replicas of the job on a machine
+	// No second replica goes to a machine.
+	spread bool
 }
 
 func (p *replicaPlacement) note(id protocol.MachineID, n int) {
@@ -94,8 +102,11 @@
 // most is how many more replicas of the job the machine should have: half of them at
 // most, so that the loss of one machine does not stop the service.
 func (p *replicaPlacement) most(r *room) int {
-	half := (p.q.rec.Desc.Pieces + 1) / 2
-	return min(max(half-p.here[r.id], 0), p.left, p.q.zoneRoom(r.rec.Yard))
+	most := (p.q.rec.Desc.Pieces + 1) / 2
+	if p.spread {
+		most = 1
+	}
+	return min(max(most-p.here[r.id], 0), p.left, p.q.zoneRoom(r.rec.Yard))
 }
 
 // onFree places replicas where there is room.
@@ -142,18 +153,18 @@
 
 // byChoice makes room where own machines don't do, on those of other controllers too:
 // the claimant puts its choice on record, and their owners stop tasks there.
-func (p *replicaPlacement) byChoice() {
+func (p *replicaPlacement) byChoice(good func(*room) bool) {
 	c, q := p.c, p.q
 	if p.left <= 0 {
 		return
 	}
-	chosen := p.cheapest(func(r *room) bool { return slices.Contains(q.rec.Room, r.id) })
+	chosen := p.cheapest(func(r *room) bool { return slices.Contains(q.rec.Room, r.id) && good(r) })
 	room := 0
 	for _, r := range chosen {
 		room += min(c.freeable(r, q), p.most(r))
 	}
 	if p.ours && room < p.left && p.b.hasRoom(p.b.needs("", q.id)) {
-		chosen = p.choose()
+		chosen = p.choose(good)
 	}
 	for _, r := range chosen {
 		p.stopOn(r, slices.Contains(c.replica.Jobs[q.id].Rec.Room, r.id))
@@ -161,10 +172,10 @@
 }
 
 // choose puts machines on record on which room is made, if any do.
-func (p *replicaPlacement) choose() []*room {
+func (p *replicaPlacement) choose(good func(*room) bool) []*room {
 	var choice []share
 	left := p.left
-	for _, r := range p.cheapest(func(*room) bool { return true }) {
+	for _, r := range p.cheapest(good) {
 		if n := min(p.c.freeable(r, p.q), p.most(r)); n > 0 && left > 0 {
 			choice = append(choice, share{r, min(n, left)})
 			left -= n
@@ -277,7 +288,24 @@
 	if r.fl.FetchGBPerS <= 0 || r.m.hasImage(d.Bundle) {
 		return 0
 	}
-	return protocol.Seconds(d.PullGB / r.fl.FetchGBPerS)
+	fetch := protocol.Seconds(d.PullGB / r.fl.FetchGBPerS)
+	if r.m.fetching() {
+		fetch *= 2 // two images share the rate
+	}
+	return fetch
+}
+
+// fetching tells whether the newest report shows an image that is being fetched.
+func (m *mstate) fetching() bool {
+	if m == nil {
+		return false
+	}
+	for _, p := range m.byTask {
+		if p.Stage == protocol.Fetching {
+			return true
+		}
+	}
+	return false
 }
 
 // largeTypes lists the machine types that replicas leave to others as long as they can.
