--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -135,7 +135,7 @@
 	size := b.c.lineSize(r.Build)
 	page := bk.PageID("")
 	fits := func(p bk.PageID, d *draft) bool {
-		return d.owner == b.c.run && d.epoch > bk.EpochOf(above) && b.pageLoad(d.ids)+size <= b.c.limits().ValueBytes
+		return d.owner == b.c.run && d.epoch > bk.EpochOf(above) && b.load(d)+size <= b.c.limits().ValueBytes
 	}
 	for _, p := range sorted(b.pages) {
 		if fits(p, b.pages[p]) {
@@ -146,7 +146,7 @@
 	if page == "" {
 		for _, p := range b.c.ownPages() {
 			e := b.c.replica.Pages[p]
-			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, epoch: e.Epoch, ids: e.Machines}) {
+			if b.pages[p] == nil && fits(p, &draft{owner: e.Owner, epoch: e.Epoch, ids: e.Machines, size: e.Size}) {
 				page = p
 				break
 			}
@@ -443,6 +443,15 @@
 	return n
 }
 
+// load is what a page may come to take. What is packed hardly grows with the tasks of
+// its machines, so there it is what the page takes now, and a quarter more.
+func (b *batch) load(d *draft) int {
+	if b.c.format() < bk.FormatPacked {
+		return b.pageLoad(d.ids)
+	}
+	return d.size * 5 / 4
+}
+
 // ownPages lists the pages of this run.
 func (c *Core) ownPages() []bk.PageID {
 	return pick(c.replica.Pages, func(p *bk.Page) bool { return c.run != "" && p.Owner == c.run })
@@ -459,7 +468,8 @@
 	own := c.ownPages()
 	load := map[bk.PageID]int{}
 	for _, id := range own {
-		load[id] = b.pageLoad(c.replica.Pages[id].Machines)
+		p := c.replica.Pages[id]
+		load[id] = b.load(&draft{ids: p.Machines, size: p.Size})
 	}
 	slices.SortStableFunc(own, func(a, z bk.PageID) int { return cmp.Compare(load[a], load[z]) })
 	for _, id := range own {
