--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -274,7 +274,7 @@
 	}
 	for _, id := range c.ownPages() {
 		p := c.replica.Pages[id]
-		if len(p.Done) == 0 || p.Size < c.limits().ValueBytes*3/4 && len(p.Machines) > 0 || b.pages[id] == nil && !b.hasRoom(2) {
+		if len(p.Done) == 0 || !c.fullOfDone(p) && len(p.Machines) > 0 || b.pages[id] == nil && !b.hasRoom(2) {
 			continue
 		}
 		d := b.page(id)
@@ -290,6 +290,22 @@
 	}
 }
 
+// fullOfDone tells whether the done tasks on a page are to move to their jobs' records: a
+// change each, so not before the room is needed. A packed page that is full of machines
+// is cut in two instead.
+func (c *Core) fullOfDone(p *bk.Page) bool {
+	limit := c.limits().ValueBytes
+	if c.format() < bk.FormatPacked {
+		return p.Size >= limit*3/4
+	}
+	const perJob, perSpan = 8, 2 // bytes, as packed
+	size := 0
+	for _, r := range p.Done {
+		size += perJob + perSpan*r.Spans()
+	}
+	return size >= limit/4
+}
+
 // needs counts the records that a change would add to the batch.
 func (b *batch) needs(m protocol.MachineID, jobs ...protocol.JobID) int {
 	n := 0
