--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -69,24 +69,24 @@
 
 // decodePage reads a page in any form.
 func decodePage(data json.RawMessage) (f pageForm, format Format, err error) {
-	var any struct {
+	var either struct {
 		pageForm
 		Machines json.RawMessage `json:"m"`
 	}
-	if err := json.Unmarshal(data, &any); err != nil {
+	if err := json.Unmarshal(data, &either); err != nil {
 		return f, FormatPlain, err
 	}
-	f = any.pageForm
-	if len(any.Machines) > 0 && any.Machines[0] == '"' {
+	f = either.pageForm
+	if len(either.Machines) > 0 && either.Machines[0] == '"' {
 		var text string
-		if err := json.Unmarshal(any.Machines, &text); err != nil {
+		if err := json.Unmarshal(either.Machines, &text); err != nil {
 			return f, FormatPacked, err
 		}
 		f.Machines, f.Done, err = unpackPage(text)
 		return f, FormatPacked, err
 	}
-	if len(any.Machines) > 0 {
-		err = json.Unmarshal(any.Machines, &f.Machines)
+	if len(either.Machines) > 0 {
+		err = json.Unmarshal(either.Machines, &f.Machines)
 	}
 	return f, FormatPlain, err
 }
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -253,6 +253,9 @@
 	}
 	var r Ranges
 	if e := m.Jobs[id]; e != nil {
+		if d := e.Rec.Desc; d != nil && d.Daemon() {
+			return r // no replica is ever done, whatever an earlier version has noted
+		}
 		r = e.Rec.Done
 	}
 	for p := range m.doneOn[id] {
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -117,6 +117,9 @@
 	}
 }
 
+// rebuildDelay is the pause before a transaction that outgrew the limits is built anew.
+const rebuildDelay = 100 * time.Millisecond
+
 // withinLimits tells whether a transaction can be sent. One that can't is built anew,
 // with less in it.
 func (c *Core) withinLimits(m *protocol.Multi) bool {
@@ -125,7 +128,8 @@
 	}
 	c.log(slog.LevelError, "transaction outgrew the limits and is not sent", "changes", len(m.Then))
 	c.shrink()
-	c.flushAt = c.now.Steady.Add(100 * time.Millisecond)
+	c.flushAt = c.now.Steady.Add(rebuildDelay)
+	c.userAt = c.flushAt
 	return false
 }
 
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -58,20 +58,20 @@
 	}
 	q.leaves = c.largeTypes(d)
 	warm := func(r *room) bool { return c.fetchTime(r, d) < slowFetch }
-	any := func(*room) bool { return true }
+	anywhere := func(*room) bool { return true }
 	p.onFree(warm)
 	p.byStopping(warm)
 	p.byChoice(warm)
 	// One on each machine that has to fetch the image: the more machines have it, the
 	// more of the next replicas begin at once.
 	p.spread = true
-	p.onFree(any)
+	p.onFree(anywhere)
 	p.spread = false
-	p.onFree(any)
-	p.byStopping(any)
-	p.byChoice(any)
+	p.onFree(anywhere)
+	p.byStopping(anywhere)
+	p.byChoice(anywhere)
 	q.leaves = nil
-	p.onFree(any)
+	p.onFree(anywhere)
 	if p.left > 0 && q.rec.Claim == c.run {
 		c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: p.left, zone: q.onlyZone(), order: q.order,
 			sent: q.rec.Sent, urgent: true})
@@ -330,7 +330,7 @@
 func (c *Core) replicaEnded(m *mstate, t protocol.Task) {
 	j := c.jstate(t.Job)
 	if at := m.running[t]; at == begunBefore || at > 0 && c.since(at) > quickEnd {
-		j.quickEnds = 0
+		j.quickEnds, j.notBefore = 0, 0
 		clear(j.failedOn)
 		return
 	}
--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
@@ -24,7 +25,7 @@
 
 // raiseDelay is how long the other controllers leave it to one of them to raise the
 // format.
-const raiseDelay = 2_000_000_000
+const raiseDelay = 2 * time.Second
 
 // format is the newest format that may be written.
 func (c *Core) format() bk.Format { return c.replica.Format.Rec.Write }
@@ -66,7 +67,8 @@
 }
 
 // raiseFormat sends the change of the format, and tells whether it did. It rests on the
-// keys of all living runs: one of them may end, and another version begin, meanwhile.
+// keys of all controllers, those that are away too: one of them may end, and another
+// version begin, before the change is applied.
 func (c *Core) raiseFormat() bool {
 	if !c.mayRaiseFormat() {
 		c.upgrade.since = 0
@@ -79,7 +81,7 @@
 		return false
 	}
 	when := []protocol.When{{Key: bk.FormatKey, Stamp: c.replica.Stamp(bk.FormatKey)}}
-	for _, member := range sorted(c.replica.Members) {
+	for _, member := range append([]protocol.Member{c.cfg.Member}, c.cfg.Members...) {
 		key := bk.MemberKey(member)
 		when = append(when, protocol.When{Key: key, Stamp: c.replica.Stamp(key)})
 	}
