--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -42,7 +42,8 @@
 // placeReplicas places the replicas of a daemon that do not run.
 func (c *Core) placeReplicas(b *batch, q *queued, rooms []*room) {
 	d := q.rec.Desc
-	p := replicaPlacement{c: c, b: b, q: q, rooms: rooms, left: min(d.Pieces-q.placed, c.teamRoom(rooms, d))}
+	p := replicaPlacement{c: c, b: b, q: q, rooms: rooms, left: min(d.Pieces-q.placed, c.teamRoom(rooms, d)),
+		here: map[protocol.MachineID]int{}, used: map[protocol.MachineID]int{}}
 	if p.left <= 0 {
 		return
 	}
@@ -53,7 +54,7 @@
 	}
 	for id := range c.replica.On(q.id) {
 		for a := range c.replica.Machines[id].Rec.Of(q.id) {
-			p.note(id, a.Pieces.Len())
+			p.here[id] += a.Pieces.Len()
 		}
 	}
 	q.leaves = c.largeTypes(d)
@@ -88,17 +89,11 @@
 	open  []int // replicas to place, where it does
 	left  int
 	here  map[protocol.MachineID]int // replicas of the job on a machine
+	used  map[protocol.MachineID]int // replicas that the choice on record has been used for
 	// No second replica goes to a machine.
 	spread bool
 }
 
-func (p *replicaPlacement) note(id protocol.MachineID, n int) {
-	if p.here == nil {
-		p.here = map[protocol.MachineID]int{}
-	}
-	p.here[id] += n
-}
-
 // most is how many more replicas of the job the machine should have: half of them at
 // most, so that the loss of one machine does not stop the service.
 func (p *replicaPlacement) most(r *room) int {
@@ -126,7 +121,7 @@
 	c := p.c
 	written := p.ours && !r.coming && c.writable(p.b, r, p.q.rec.Desc)
 	c.putTasks(p.b, p.q, r, n, written, p.nextOpen(n))
-	p.note(r.id, n)
+	p.here[r.id] += n
 	p.left -= n
 }
 
@@ -147,38 +142,54 @@
 		return
 	}
 	for _, r := range p.cheapest(func(r *room) bool { return p.c.mine(r.rec) && good(r) }) {
-		p.stopOn(r, true)
+		p.stopOn(r, p.left, true)
 	}
 }
 
 // byChoice makes room where own machines don't do, on those of other controllers too:
-// the claimant puts its choice on record, and their owners stop tasks there.
+// the claimant puts its choice on record, a machine once for each replica, and their
+// owners stop tasks there.
 func (p *replicaPlacement) byChoice(good func(*room) bool) {
 	c, q := p.c, p.q
 	if p.left <= 0 {
 		return
 	}
-	chosen := p.cheapest(func(r *room) bool { return slices.Contains(q.rec.Room, r.id) && good(r) })
+	chosen := p.cheapest(func(r *room) bool { return p.leftOf(q.rec.Room, r) > 0 && good(r) })
 	room := 0
 	for _, r := range chosen {
-		room += min(c.freeable(r, q), p.most(r))
+		room += min(c.freeable(r, q), p.most(r), p.leftOf(q.rec.Room, r))
 	}
 	if p.ours && room < p.left && p.b.hasRoom(p.b.needs("", q.id)) {
 		chosen = p.choose(good)
 	}
+	onRecord := c.replica.Jobs[q.id].Rec.Room
 	for _, r := range chosen {
-		p.stopOn(r, slices.Contains(c.replica.Jobs[q.id].Rec.Room, r.id))
+		before := p.left
+		p.stopOn(r, p.leftOf(p.b.viewJob(q.id).Room, r), slices.Contains(onRecord, r.id))
+		p.used[r.id] += before - p.left
 	}
 }
 
+// leftOf counts the replicas that a choice has for a machine and that this pass has not
+// provided for yet.
+func (p *replicaPlacement) leftOf(choice []protocol.MachineID, r *room) int {
+	n := -p.used[r.id]
+	for _, id := range choice {
+		if id == r.id {
+			n++
+		}
+	}
+	return n
+}
+
 // choose puts machines on record on which room is made, if any do.
 func (p *replicaPlacement) choose(good func(*room) bool) []*room {
 	var choice []share
 	left := p.left
 	for _, r := range p.cheapest(good) {
-		if n := min(p.c.freeable(r, p.q), p.most(r)); n > 0 && left > 0 {
-			choice = append(choice, share{r, min(n, left)})
-			left -= n
+		for range min(p.c.freeable(r, p.q), p.most(r), left) {
+			choice = append(choice, share{r, 1})
+			left--
 		}
 	}
 	if len(choice) == 0 || !p.c.recordable(choice) {
@@ -189,7 +200,7 @@
 	for _, s := range choice {
 		rooms = append(rooms, s.r)
 	}
-	return rooms
+	return slices.Compact(rooms)
 }
 
 // cheapest lists machines on which lower ranked tasks can be stopped for replicas, those
@@ -208,11 +219,11 @@
 	return list
 }
 
-// stopOn keeps what replicas are to take of a machine, and stops lower ranked tasks
-// there if that is decided and the machine is this run's.
-func (p *replicaPlacement) stopOn(r *room, decided bool) {
+// stopOn keeps what up to most replicas are to take of a machine, and stops lower ranked
+// tasks there if that is decided and the machine is this run's.
+func (p *replicaPlacement) stopOn(r *room, most int, decided bool) {
 	c := p.c
-	n := min(c.freeable(r, p.q), p.most(r))
+	n := min(c.freeable(r, p.q), p.most(r), most)
 	if n <= 0 {
 		return
 	}
@@ -222,7 +233,7 @@
 	p.q.put(r, n, 0)
 	c.planned.busy[r.id] = true
 	c.planned.expects[r.id] = true
-	p.note(r.id, n)
+	p.here[r.id] += n
 	p.nextOpen(n)
 	p.left -= n
 }
--- a/internal/standin/daemon_test.go
+++ b/internal/standin/daemon_test.go
@@ -63,6 +63,12 @@
 		{"its machine dies", 3, nil, func(w *World) { w.Lose(w.hosts("j-1")[0].ID) }, 30},
 		{"its machine loses the network for good", 3, nil, func(w *World) { w.hosts("j-1")[0].Cut = true }, 60},
 		{"its machine begins a new session", 3, nil, func(w *World) { w.hosts("j-1")[0].Reboot() }, 8},
+		{"its machines begin new sessions again and again", 1, nil, func(w *World) {
+			for range 8 {
+				w.hosts("j-1")[0].Reboot()
+				w.Run(seconds(7))
+			}
+		}, 0},
 		{"all controllers end", 4, nil, func(w *World) {
 			w.Lose(w.hosts("j-1")[0].ID)
 			for _, n := range w.Nodes {
@@ -138,14 +144,16 @@
 		w.NoHire = true
 		w.At(seconds(3), func() { w.Submit(array("j-2", "l", "standard", 32, 1, 600)) })
 		w.Run(seconds(15))
-		before := len(w.taskStages("j-2"))
+		before, starts := len(w.taskStages("j-2")), w.Starts
 		d := daemon("j-1", 3)
 		d.Rank = c.rank
 		w.Submit(d)
 		w.Run(seconds(10))
 		after := len(w.taskStages("j-2"))
-		if before != 32 || w.up("j-1") != c.up || before-after != c.up || len(w.Rules.Broken) > 0 {
-			t.Errorf("%s: %d replicas are up, %d of %d other tasks left, broken %v", c.rank, w.up("j-1"), after, before, w.Rules.Broken)
+		// One that is stopped without need would find its room again, and start anew.
+		if before != 32 || w.up("j-1") != c.up || before-after != c.up || w.Starts-starts != c.up || len(w.Rules.Broken) > 0 {
+			t.Errorf("%s: %d replicas are up, %d of %d other tasks left, %d starts, broken %v", c.rank, w.up("j-1"), after, before,
+				w.Starts-starts, w.Rules.Broken)
 		}
 	}
 }
--- a/internal/standin/upgrade_test.go
+++ b/internal/standin/upgrade_test.go
@@ -209,3 +209,23 @@
 		t.Errorf("%d pages are packed, broken: %v", packed, w.Rules.Broken)
 	}
 }
+
+// Records that nothing asks to change are made smaller too: a page that is too large for
+// the new limits could not be taken over in one piece later.
+func TestIdleRecordsAreRepacked(t *testing.T) {
+	w := upgradeWorld(t, 5)
+	w.Config.IdleFactor = 1000
+	for range 200 {
+		w.Machine("small", "a", false, 0)
+	}
+	for i, n := range w.Nodes {
+		n.Start()
+		n.Upgrade(seconds(30+6*float64(i)), seconds(2))
+	}
+	w.Run(seconds(28))
+	before := w.largestRecord()
+	w.Run(seconds(32))
+	if after := w.largestRecord(); before <= tightened.ValueBytes || after > tightened.ValueBytes || len(w.Rules.Broken) > 0 {
+		t.Errorf("the largest record takes %d bytes, %d before; broken %v", after, before, w.Rules.Broken)
+	}
+}
