--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -231,3 +231,49 @@
 		t.Error("a replica that ran is paused")
 	}
 }
+
+// What this run is responsible for is rewritten unasked once the format is raised: a page
+// as one packed value instead of two halves, and a job whose done tasks have many gaps.
+func TestOwnRecordsAreRepacked(t *testing.T) {
+	core, step := begin(t)
+	core.cfg.NextLimits = &announced
+	var lines []string
+	for i := range 60 {
+		m := bk.MachineRecord{Session: 1, Addr: fmt.Sprintf("10.1.0.%d:9000", i), Build: "small", Yard: "a", Since: 1e12}
+		lines = append(lines, m.Line(protocol.MachineID(fmt.Sprintf("m-%06d", i))))
+	}
+	core.replicaPut(bk.PageKey("idle"), bk.EncodePage(core.run, 3, lines, nil), 40)
+	var done bk.Ranges
+	for n := 0; n < 900; n += 2 {
+		done = done.Add(n)
+	}
+	job := bk.JobRecord{Desc: &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "low", Pieces: 900, Cores: 1},
+		Claim: core.run, Next: 1024, Done: done}
+	core.replicaPut(bk.JobKey("j-1"), bk.JSON(job), 41)
+	core.replicaPut(bk.FormatKey, bk.JSON(bk.FormatRecord{Write: bk.FormatPacked}), 50)
+	pages, jobs := 0, 0
+	for range 20 {
+		for _, e := range step(50*time.Millisecond, Tick{}) {
+			v, ok := e.(Commit)
+			if !ok {
+				continue
+			}
+			if !announced.keepsTo(&v.Multi) {
+				t.Errorf("too large: %d changes", len(v.Multi.Then))
+			}
+			for _, then := range v.Multi.Then {
+				switch then.Put {
+				case bk.PageKey("idle"):
+					pages++
+				case bk.JobKey("j-1"):
+					jobs++
+				}
+			}
+			step(0, CommitResult{ID: v.ID, Outcome: bk.Applied, Answer: protocol.MultiAnswer{Rev: core.replica.Rev + 60}})
+		}
+		step(0, FollowResult{From: core.replica.Rev, News: &protocol.Followed{Rev: core.replica.Rev + 61}})
+	}
+	if pages != 1 || jobs == 0 || len(core.replica.Pages) != 1 || core.replica.Done("j-1").String() != done.String() {
+		t.Errorf("the page is written %d times, the job %d times; %d pages", pages, jobs, len(core.replica.Pages))
+	}
+}
