--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -244,10 +244,10 @@
 	}
 	core.replicaPut(bk.PageKey("idle"), bk.EncodePage(core.run, 3, lines, nil), 40)
 	var done bk.Ranges
-	for n := 0; n < 900; n += 2 {
+	for n := 0; n < 1800; n += 2 {
 		done = done.Add(n)
 	}
-	job := bk.JobRecord{Desc: &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "low", Pieces: 900, Cores: 1},
+	job := bk.JobRecord{Desc: &protocol.Job{UID: "j-1", Lane: "l", Desk: "core", Shape: protocol.Batch, Rank: "low", Pieces: 1800, Cores: 1},
 		Claim: core.run, Next: 1024, Done: done}
 	core.replicaPut(bk.JobKey("j-1"), bk.JSON(job), 41)
 	core.replicaPut(bk.FormatKey, bk.JSON(bk.FormatRecord{Write: bk.FormatPacked}), 50)
