--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -18,7 +18,7 @@
 func (c *Core) flush() {
 	now := c.now.Steady
 	c.flushUsers()
-	if c.tx != nil || !c.loaded || now < c.flushAt || c.hold == 0 {
+	if c.tx != nil || !c.loaded || now < c.flushAt || c.lease.id == 0 {
 		return
 	}
 	if c.replica.Rev < c.minRev && c.since(c.minRevAt) < 2*time.Second {
@@ -36,7 +36,7 @@
 		rec := e.Rec
 		rec.Fence++
 		c.send(&txn{fence: true, multi: protocol.Multi{When: []protocol.When{c.selfWhen()},
-			Then: []protocol.Then{{Put: bk.MemberKey(c.cfg.Member), Data: bk.JSON(rec), Tenancy: c.hold}}}})
+			Then: []protocol.Then{{Put: bk.MemberKey(c.cfg.Member), Data: bk.JSON(rec), Tenancy: c.lease.id}}}})
 		return
 	}
 	if c.replica.Rev < c.minRev || c.raiseFormat() {
@@ -102,8 +102,8 @@
 
 // flushUsers sends new and withdrawn jobs.
 func (c *Core) flushUsers() {
-	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.hold == 0 || !c.registered() || c.fence || c.replica.Rev < c.minRev ||
-		len(c.submits)+len(c.aborts) == 0 {
+	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.lease.id == 0 || !c.registered() || c.fence || c.replica.Rev < c.minRev ||
+		len(c.submits)+len(c.cancellations.wanted) == 0 {
 		return
 	}
 	b := c.newBatch(min(int(c.tokens.TokensAt(c.steady())), c.txCap))
@@ -153,10 +153,10 @@
 		return
 	}
 	key := bk.MemberKey(c.cfg.Member)
-	run := bk.NewRun(c.cfg.Member, c.hold)
+	run := bk.NewRun(c.cfg.Member, c.lease.id)
 	c.send(&txn{reg: true, multi: protocol.Multi{
 		When: []protocol.When{{Key: key, Stamp: c.replica.Stamp(key)}},
-		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run, Reads: bk.FormatPacked}), Tenancy: c.hold}}}})
+		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run, Reads: bk.FormatPacked}), Tenancy: c.lease.id}}}})
 }
 
 func (c *Core) committed(v CommitResult) {
@@ -206,7 +206,7 @@
 		c.txCap = c.limits().TxnOps
 		switch {
 		case t.reg:
-			c.run = bk.NewRun(c.cfg.Member, c.hold)
+			c.run = bk.NewRun(c.cfg.Member, c.lease.id)
 			c.self = stamp
 			c.waitRev(v.Answer.Rev)
 			c.log(slog.LevelInfo, "run registered", "run", string(c.run))
@@ -226,7 +226,7 @@
 		c.busyCount++
 		*next = now.Add(c.jitter(min(50*time.Millisecond<<min(c.busyCount, 4), time.Second)))
 	case bk.NoLease:
-		c.self, c.hold = 0, 0
+		c.self, c.lease.id = 0, 0
 	case bk.Refused:
 		*next = now.Add(c.jitter(300 * time.Millisecond))
 	case bk.Invalid:
@@ -240,7 +240,7 @@
 		if !t.reg {
 			c.fence = true
 		} else {
-			c.hold = 0 // register with a new lease; the old run's name is not used
+			c.lease.id = 0 // register with a new lease; the old run's name is not used
 		}
 		*next = now.Add(c.jitter(200 * time.Millisecond))
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -44,15 +44,9 @@
 	downAt    protocol.Instant // when the first of those was
 
 	// This process run.
-	run       bk.Run
-	hold      protocol.LeaseID // lease of run, or the one to register with
-	self      protocol.Stamp   // stamp of this member's key while run is registered
-	granting  bool
-	extending bool
-	extendAt  protocol.Instant
-	extendAsk protocol.Instant
-	grantAsk  protocol.Instant
-	grantAt   protocol.Instant
+	run   bk.Run
+	lease lease
+	self  protocol.Stamp // stamp of this member's key while run is registered
 
 	// Transactions: one at a time, and one beside it for what users ask for, which
 	// would else wait for all that ends and starts.
@@ -79,24 +73,18 @@
 	upgrade upgrade
 
 	// Users and workers that wait.
-	submits  map[protocol.JobID]*submit
-	aborts   map[protocol.JobID]protocol.Instant        // since when they are being withdrawn
-	told     map[protocol.JobID]told                    // intents to withdraw that the replica does not have yet
-	acks     map[protocol.JobID]map[bk.Run]protocol.Rev // runs that answer for one, and their replicas' revisions
-	acked    map[protocol.JobID]bool                    // intents that this run answers for
-	aware    map[protocol.JobID]bool                    // intents of which nobody who matters is unaware
-	intentAt map[protocol.JobID]protocol.Instant        // intents in the last message to the others
-	halts    map[protocol.JobID]protocol.Attempt        // attempts of gangs that are to stop in order
-	waiters  []*waiter
-	revOut   bool // a revision is being read
-	revAsk   protocol.Instant
-	machines map[protocol.MachineID]*mstate
-	leaving  []protocol.MachineID        // owned ones that are to go back
-	handing  map[protocol.MachineID]bool // owned ones whose workers report to another controller
-	holding  map[protocol.MachineID]bool // whose reports wait for their answers
-	adopting map[protocol.MachineID]bool // those of them that wait for an owner
-	stirred  bool                        // something has changed that they may wait for
-	doing    int                         // direct commands under way
+	submits       map[protocol.JobID]*submit
+	cancellations cancellations
+	halts         map[protocol.JobID]protocol.Attempt // attempts of gangs that are to stop in order
+	waiters       []*waiter
+	revision      revisionRead
+	machines      map[protocol.MachineID]*mstate
+	leaving       []protocol.MachineID        // owned ones that are to go back
+	handing       map[protocol.MachineID]bool // owned ones whose workers report to another controller
+	holding       map[protocol.MachineID]bool // whose reports wait for their answers
+	adopting      map[protocol.MachineID]bool // those of them that wait for an owner
+	stirred       bool                        // something has changed that they may wait for
+	doing         int                         // direct commands under way
 
 	// Jobs, as far as this process remembers more than the records.
 	jobs map[protocol.JobID]*jstate
@@ -165,12 +153,11 @@
 func New(cfg Config, now Now) *Core {
 	c := &Core{
 		cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), replica: bk.NewReplica(),
-		submits: map[protocol.JobID]*submit{}, aborts: map[protocol.JobID]protocol.Instant{},
+		submits: map[protocol.JobID]*submit{}, cancellations: newCancellations(),
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		rentals: newRentals(), warm: newWarmPool(), waitedFor: map[protocol.Sku]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
 		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
-		told: map[protocol.JobID]told{}, acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{},
 		handing: map[protocol.MachineID]bool{}, holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
 	c.replica.Changed = c.onChanged
@@ -234,13 +221,7 @@
 	case RevResult:
 		c.onRev(v)
 	case GrantResult:
-		c.granting = false
-		if c.heard(c.grantAsk, v.Err) {
-			c.hold = v.Hold
-			c.grantAt = c.now.Steady
-		} else {
-			c.grantAt = c.now.Steady.Add(c.jitter(500 * time.Millisecond))
-		}
+		c.onGrant(v)
 	case ExtendResult:
 		c.onExtend(v)
 	case FlavorsResult:
@@ -376,15 +357,7 @@
 		c.loading, c.loadAsk = true, now
 		c.emit(Load{})
 	}
-	if c.hold == 0 && !c.granting && now >= c.grantAt {
-		c.granting, c.grantAsk = true, now
-		c.emit(Grant{c.cfg.HoldTTL})
-	}
-	if c.hold != 0 && !c.extending && now >= c.extendAt && c.since(c.grantAt) > c.cfg.HoldTTL/4 {
-		c.extending, c.extendAsk = true, now
-		c.extendAt = now.Add(c.jitter(c.cfg.HoldTTL / 4))
-		c.emit(Extend{c.hold})
-	}
+	c.tickLease()
 	c.tickWithdrawals()
 	if now >= c.hintAt || c.hintSoon {
 		c.hintSoon = false
@@ -509,84 +482,3 @@
 	}
 	c.checkSelf()
 }
-
-// checkSelf compares this run with what the state service says of it.
-func (c *Core) checkSelf() {
-	if !c.registered() {
-		return
-	}
-	e := c.replica.Members[c.cfg.Member]
-	if e != nil && e.Rec.Run == c.run {
-		c.self = e.Stamp
-		return
-	}
-	if e == nil && c.replica.Rev < protocol.Rev(c.self) {
-		return // the replica is older than the registration
-	}
-	c.log(slog.LevelWarn, "this run's lease has ended, a new run begins", "run", string(c.run))
-	c.self, c.hold = 0, 0
-}
-
-func (c *Core) onExtend(v ExtendResult) {
-	c.extending = false
-	if errors.Is(v.Err, bk.ErrGone) && v.Hold == c.hold {
-		c.log(slog.LevelWarn, "lease has ended", "run", string(c.run))
-		c.self, c.hold = 0, 0
-	}
-	if !c.heard(c.extendAsk, v.Err) {
-		c.extendAt = c.now.Steady.Add(c.jitter(300 * time.Millisecond))
-	}
-}
-
-// tickRuns notes since when runs are dead, so that takeovers spread out.
-func (c *Core) tickRuns() {
-	if !c.loaded {
-		return
-	}
-	c.observeVersions()
-	seen := map[bk.Run]bool{}
-	note := func(r bk.Run) {
-		if c.replica.Alive(r) {
-			return // nobody's things are a dead run's too
-		}
-		seen[r] = true
-		if _, ok := c.deadAt[r]; !ok {
-			c.deadAt[r] = c.now.Steady
-		}
-	}
-	for _, p := range c.replica.Pages {
-		note(p.Owner)
-	}
-	for _, j := range c.replica.Open {
-		note(j.Rec.Claim)
-	}
-	for r := range c.deadAt {
-		if !seen[r] {
-			delete(c.deadAt, r)
-		}
-	}
-}
-
-// heir tells whether this node is the one to take over what key names: the
-// living node of highest weight, so that a dead run's things are spread out.
-func (c *Core) heir(key string) bool {
-	best, bestW := protocol.Member(""), uint64(0)
-	for m, e := range c.replica.Members {
-		if w := weight(string(m), key); e.Rec.Run != "" && (best == "" || w > bestW) {
-			best, bestW = m, w
-		}
-	}
-	return best == c.cfg.Member
-}
-
-func weight(a, b string) uint64 {
-	h := uint64(14695981039346656037)
-	for _, s := range [2]string{a, b} {
-		for i := 0; i < len(s); i++ {
-			h = (h ^ uint64(s[i])) * 1099511628211
-		}
-	}
-	h ^= h >> 31
-	h *= 0x9e3779b97f4a7c15
-	return h ^ h>>29
-}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -38,6 +38,12 @@
 	abort bool         // waits for the job to be withdrawn
 }
 
+// revisionRead is the read of the state service's revision that waiters share.
+type revisionRead struct {
+	asking  bool
+	askedAt protocol.Instant
+}
+
 func (c *Core) reply(req ReqID, status int, v any) {
 	c.emit(Reply{Req: req, Status: status, Body: protocol.Encode(v)})
 }
@@ -124,27 +130,27 @@
 
 // askRev reads the revision once for all that wait.
 func (c *Core) askRev() {
-	if c.revOut {
+	if c.revision.asking {
 		return
 	}
 	for _, w := range c.waiters {
 		if !w.asked {
-			c.revOut = true
+			c.revision.asking = true
 		}
 	}
-	if !c.revOut {
+	if !c.revision.asking {
 		return
 	}
 	for _, w := range c.waiters {
 		w.asked = true
 	}
-	c.revAsk = c.now.Steady
+	c.revision.askedAt = c.now.Steady
 	c.emit(ReadRev{})
 }
 
 func (c *Core) onRev(v RevResult) {
-	c.revOut = false
-	ok := c.heard(c.revAsk, v.Err)
+	c.revision.asking = false
+	ok := c.heard(c.revision.askedAt, v.Err)
 	c.waiters = slices.DeleteFunc(c.waiters, func(w *waiter) bool {
 		if !w.asked || w.rev != 0 {
 			return false
@@ -221,8 +227,8 @@
 }
 
 func (c *Core) wantAbort(id protocol.JobID) {
-	if _, ok := c.aborts[id]; !ok {
-		c.aborts[id] = c.now.Steady
+	if _, ok := c.cancellations.wanted[id]; !ok {
+		c.cancellations.wanted[id] = c.now.Steady
 	}
 }
 
@@ -316,11 +322,11 @@
 		}
 		return late
 	})
-	for id, at := range c.aborts {
+	for id, at := range c.cancellations.wanted {
 		// The user is told to come back; withdrawing goes on all the same
 		// for a while, as it was asked for.
 		if c.replica.Withdrawing[id] == nil && c.since(at) > 30*time.Second {
-			delete(c.aborts, id)
+			delete(c.cancellations.wanted, id)
 		}
 	}
 }
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -34,6 +34,21 @@
 	at  protocol.Instant
 }
 
+// cancellations is what this process knows of jobs that are being withdrawn.
+type cancellations struct {
+	wanted   map[protocol.JobID]protocol.Instant        // since when this run withdraws them
+	told     map[protocol.JobID]told                    // intents that the replica does not have yet
+	acks     map[protocol.JobID]map[bk.Run]protocol.Rev // runs that answer for one, and their replicas' revisions
+	acked    map[protocol.JobID]bool                    // intents that this run answers for
+	aware    map[protocol.JobID]bool                    // intents of which nobody who matters is unaware
+	intentAt map[protocol.JobID]protocol.Instant        // intents in the last message to the others
+}
+
+func newCancellations() cancellations {
+	return cancellations{wanted: map[protocol.JobID]protocol.Instant{}, told: map[protocol.JobID]told{},
+		acks: map[protocol.JobID]map[bk.Run]protocol.Rev{}, aware: map[protocol.JobID]bool{}, intentAt: map[protocol.JobID]protocol.Instant{}}
+}
+
 // Bounds of what controllers tell each other of withdrawals in one message, and of
 // what is kept of it.
 const (
@@ -48,7 +63,7 @@
 	if e := c.replica.Jobs[id]; e != nil && e.Rec.CalledOff() {
 		return true
 	}
-	_, ok := c.told[id]
+	_, ok := c.cancellations.told[id]
 	return ok
 }
 
@@ -59,7 +74,7 @@
 	if e := c.replica.Jobs[id]; e != nil && e.Rec.CalledOff() {
 		d = millis(c.now.Wall - e.Rec.OffAt)
 	}
-	if k, ok := c.told[id]; ok {
+	if k, ok := c.cancellations.told[id]; ok {
 		d = max(d, c.since(k.at))
 	}
 	return d
@@ -138,7 +153,7 @@
 			continue
 		}
 		// An acknowledgement covers what its sender knew that it owns.
-		rev, ok := c.acks[id][r.Owner]
+		rev, ok := c.cancellations.acks[id][r.Owner]
 		if !ok || !c.replica.Alive(r.Owner) || rev < protocol.Rev(c.replica.Pages[r.Page].Since) {
 			return false
 		}
@@ -178,12 +193,12 @@
 
 // writeWithdrawals puts the next step of each withdrawal into the transaction.
 func (c *Core) writeWithdrawals(b *batch) {
-	for _, id := range sorted(c.aborts) {
+	for _, id := range sorted(c.cancellations.wanted) {
 		e := c.replica.Jobs[id]
 		switch {
 		case e == nil || e.Rec.Stage.Final():
-			delete(c.aborts, id)
-		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.aware[id] || c.replica.Done(id).Len() >= e.Rec.Desc.Pieces):
+			delete(c.cancellations.wanted, id)
+		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.cancellations.aware[id] || c.replica.Done(id).Len() >= e.Rec.Desc.Pieces):
 			// Not yet; or all its tasks turned out done first: its claimant says so.
 		case e.Rec.Withdrawing || c.inOneWrite(b, id):
 			r := b.job(id)
@@ -200,43 +215,43 @@
 	if !c.loaded {
 		return
 	}
-	for id, k := range c.told {
+	for id, k := range c.cancellations.told {
 		if c.replica.Rev >= k.rev {
-			delete(c.told, id) // the replica has it, or it is over
+			delete(c.cancellations.told, id) // the replica has it, or it is over
 		}
 	}
-	for id := range c.aware {
+	for id := range c.cancellations.aware {
 		if c.replica.Withdrawing[id] == nil {
-			delete(c.aware, id)
+			delete(c.cancellations.aware, id)
 		}
 	}
-	for id := range c.acks {
+	for id := range c.cancellations.acks {
 		if c.replica.Withdrawing[id] == nil {
-			delete(c.acks, id)
+			delete(c.cancellations.acks, id)
 		}
 	}
-	before := c.acked
-	c.acked = map[protocol.JobID]bool{}
+	before := c.cancellations.acked
+	c.cancellations.acked = map[protocol.JobID]bool{}
 	ack := func(id protocol.JobID) {
 		if c.ownSettled(id) {
-			c.acked[id] = true
+			c.cancellations.acked[id] = true
 			c.hintSoon = c.hintSoon || !before[id]
 		}
 	}
-	for id := range c.told {
+	for id := range c.cancellations.told {
 		ack(id)
 	}
 	for id := range c.replica.Withdrawing {
 		ack(id)
-		if _, asked := c.aborts[id]; !asked && c.calledOffFor(id) > 4*time.Second && c.heir(bk.JobKey(id)) {
+		if _, asked := c.cancellations.wanted[id]; !asked && c.calledOffFor(id) > 4*time.Second && c.heir(bk.JobKey(id)) {
 			c.wantAbort(id) // whoever began it may be gone
 		}
-		if !c.aware[id] {
-			c.aware[id] = c.allAware(id)
+		if !c.cancellations.aware[id] {
+			c.cancellations.aware[id] = c.allAware(id)
 			// Only who drives it tells of it: the others have nothing to send at once.
-			_, sent := c.intentAt[id]
-			_, driven := c.aborts[id]
-			c.hintSoon = c.hintSoon || driven && !sent && !c.aware[id]
+			_, sent := c.cancellations.intentAt[id]
+			_, driven := c.cancellations.wanted[id]
+			c.hintSoon = c.hintSoon || driven && !sent && !c.cancellations.aware[id]
 		}
 	}
 }
@@ -247,17 +262,17 @@
 func (c *Core) withdrawalHint(h *Hint) {
 	h.Rev = c.replica.Rev
 	var open []protocol.JobID
-	for _, id := range sorted(c.aborts) {
-		if e := c.replica.Withdrawing[id]; e != nil && !c.aware[id] {
+	for _, id := range sorted(c.cancellations.wanted) {
+		if e := c.replica.Withdrawing[id]; e != nil && !c.cancellations.aware[id] {
 			open = append(open, id)
 		}
 	}
-	clear(c.intentAt)
+	clear(c.cancellations.intentAt)
 	for _, id := range c.inTurn(open, maxIntents) {
-		c.intentAt[id] = c.now.Steady
+		c.cancellations.intentAt[id] = c.now.Steady
 		h.Intents = append(h.Intents, Intent{id, protocol.Rev(c.replica.Withdrawing[id].Stamp)})
 	}
-	h.Acks = c.inTurn(sorted(c.acked), maxAcks)
+	h.Acks = c.inTurn(sorted(c.cancellations.acked), maxAcks)
 }
 
 func (c *Core) inTurn(ids []protocol.JobID, most int) []protocol.JobID {
@@ -271,8 +286,8 @@
 // onWithdrawals takes in what another controller says of withdrawals.
 func (c *Core) onWithdrawals(h *Hint) {
 	for _, in := range h.Intents[:min(len(h.Intents), maxIntents)] {
-		if _, ok := c.told[in.Job]; !ok && in.Job.Valid() && c.replica.Rev < in.Rev && len(c.told) < maxTold {
-			c.told[in.Job] = told{in.Rev, c.now.Steady}
+		if _, ok := c.cancellations.told[in.Job]; !ok && in.Job.Valid() && c.replica.Rev < in.Rev && len(c.cancellations.told) < maxTold {
+			c.cancellations.told[in.Job] = told{in.Rev, c.now.Steady}
 			c.stirred = true
 		}
 	}
@@ -283,10 +298,10 @@
 		if c.replica.Withdrawing[id] == nil {
 			continue
 		}
-		if c.acks[id] == nil {
-			c.acks[id] = map[bk.Run]protocol.Rev{}
+		if c.cancellations.acks[id] == nil {
+			c.cancellations.acks[id] = map[bk.Run]protocol.Rev{}
 		}
-		c.acks[id][h.Run] = max(c.acks[id][h.Run], h.Rev)
+		c.cancellations.acks[id][h.Run] = max(c.cancellations.acks[id][h.Run], h.Rev)
 	}
 }
 
