--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -55,7 +55,7 @@
 		c.flavorOut = true
 		c.emit(AskFlavors{})
 	}
-	if !c.loaded || !c.registered() {
+	if !c.replication.loaded || !c.registered() {
 		return
 	}
 	for id, at := range c.released {
@@ -226,7 +226,7 @@
 		c.log(slog.LevelDebug, "machine list failed", "err", v.Err.Error())
 		return
 	}
-	if !c.loaded {
+	if !c.replication.loaded {
 		return
 	}
 	have := map[protocol.MachineID]bool{}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -18,7 +18,7 @@
 func (c *Core) flush() {
 	now := c.now.Steady
 	c.flushUsers()
-	if c.tx != nil || !c.loaded || now < c.flushAt || c.lease.id == 0 {
+	if c.tx != nil || !c.replication.loaded || now < c.flushAt || c.lease.id == 0 {
 		return
 	}
 	if c.replica.Rev < c.minRev && c.since(c.minRevAt) < 2*time.Second {
@@ -102,7 +102,7 @@
 
 // flushUsers sends new and withdrawn jobs.
 func (c *Core) flushUsers() {
-	if c.userTx != nil || !c.loaded || c.now.Steady < c.userAt || c.lease.id == 0 || !c.registered() || c.fence || c.replica.Rev < c.minRev ||
+	if c.userTx != nil || !c.replication.loaded || c.now.Steady < c.userAt || c.lease.id == 0 || !c.registered() || c.fence || c.replica.Rev < c.minRev ||
 		len(c.submits)+len(c.cancellations.wanted) == 0 {
 		return
 	}
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -25,23 +23,12 @@
 	rng *rand.Rand
 
 	// What the state service holds, as far as it is known here.
-	replica   *bk.Replica
-	loaded    bool         // the replica is whole
-	until     protocol.Rev // it is whole once it has reached this
-	begun     bool         // there is a replica to go on from; an empty store has revision 0
-	loading   bool
-	following bool
-	followAt  protocol.Instant
-	replicaAt protocol.Instant // when the replica was last known to be up to date
-	retryAt   protocol.Instant // next try of load or follow
-	stateOK   protocol.Instant // last answer of the state service
-	stateAsk  protocol.Instant // when the newest request was sent that it has answered
-	followAsk protocol.Instant // when the watch that is open was asked for
-	loadAsk   protocol.Instant // when the records that are being read were
-	wokeAt    protocol.Instant // when this process last went on after it had stood still
-	stepAt    protocol.Instant // last step
-	failures  int
-	downAt    protocol.Instant // when the first of those was
+	replica     *bk.Replica
+	replication replication
+	service     serviceHealth
+
+	wokeAt protocol.Instant // when this process last went on after it had stood still
+	stepAt protocol.Instant // last step
 
 	// This process run.
 	run   bk.Run
@@ -249,21 +236,6 @@
 	return c.out
 }
 
-// follow asks for changes again. Each answer costs a request of a tight
-// budget, so the calls keep a distance unless something waits for the replica.
-func (c *Core) follow() {
-	now := c.now.Steady
-	if !c.begun || c.following || c.loading || now < c.retryAt {
-		return
-	}
-	if now < c.followAt && c.replica.Rev >= c.minRev && len(c.waiters) == 0 {
-		return
-	}
-	c.following, c.followAsk = true, now
-	c.followAt = now.Add(c.cfg.FollowGap)
-	c.emit(Follow{c.replica.Rev})
-}
-
 // onHint takes in what another controller says of itself. A machine that is
 // silent here but reports there is handed over: the way between its worker and
 // this node is broken, and waiting would only let its lease run out.
@@ -282,50 +254,19 @@
 	}
 }
 
-// heard notes whether the state service answered what was asked at a time.
-func (c *Core) heard(asked protocol.Instant, err error) bool {
-	if err == nil || errors.Is(err, bk.ErrGone) || errors.Is(err, bk.ErrTooOld) {
-		if c.failures > 0 {
-			c.log(slog.LevelInfo, "state service answers again", "failures", c.failures)
-		}
-		c.stateOK, c.stateAsk, c.failures = c.now.Steady, max(c.stateAsk, asked), 0
-		return err == nil
-	}
-	if c.failures == 0 {
-		c.downAt = c.now.Steady
-		c.log(slog.LevelWarn, "state service does not answer", "err", err.Error())
-	}
-	c.failures++
-	return false
-}
-
-// stateDown tells whether a request to the state service would likely fail.
-func (c *Core) stateDown() bool {
-	return !c.loaded || c.failures > 1 && c.since(c.stateOK) > time.Second || c.since(c.stateOK) > c.cfg.HoldTTL
-}
-
-// fresh tells whether new starts may rest on the replica.
-func (c *Core) fresh() bool {
-	// Calls may be answered while the watch stands still: the replica's own age
-	// counts too, or a task of a job withdrawn long ago could be started. Both count
-	// from when the request was sent: an answer may have lain in a socket while this
-	// process stood still, and its run may have ended meanwhile.
-	return c.loaded && c.registered() && c.since(c.stateAsk) < c.cfg.HoldTTL/2 && c.since(c.replicaAt) < c.cfg.HoldTTL
-}
-
 func (c *Core) registered() bool { return c.self != 0 }
 
 // Healthy tells whether the node can take requests. In an outage that all see
 // it stays healthy: it can answer, if only that the user must come back.
 func (c *Core) Healthy() bool {
-	if !c.loaded || c.run == "" {
+	if !c.replication.loaded || c.run == "" {
 		// A process that begins in an outage has read nothing, and is no worse than
 		// the others: it says so at once, and serves as soon as it can, while a node
 		// that was called unhealthy would be passed over for a while behind the outage.
-		if c.failures == 0 || c.since(c.downAt) < 2*time.Second {
+		if c.service.failures == 0 || c.since(c.service.downAt) < 2*time.Second {
 			return false
 		}
-	} else if !c.stateDown() || c.since(c.stateOK) < 3*time.Second {
+	} else if !c.stateDown() || c.since(c.service.answeredAt) < 3*time.Second {
 		return true
 	}
 	// If another one reaches the state service, it is this node alone that is cut off. A
@@ -353,8 +294,8 @@
 func (c *Core) tick() {
 	now := c.now.Steady
 	c.strain()
-	if !c.loaded && !c.loading && !c.following && now >= c.retryAt {
-		c.loading, c.loadAsk = true, now
+	if !c.replication.loaded && !c.replication.loading && !c.replication.following && now >= c.replication.retryAt {
+		c.replication.loading, c.replication.loadAsk = true, now
 		c.emit(Load{})
 	}
 	c.tickLease()
@@ -362,7 +303,7 @@
 	if now >= c.hintAt || c.hintSoon {
 		c.hintSoon = false
 		c.hintAt = now.Add(c.jitter(time.Second))
-		h := Hint{Member: c.cfg.Member, StateOK: c.loaded && c.since(c.stateOK) < 2*time.Second && c.failures == 0}
+		h := Hint{Member: c.cfg.Member, StateOK: c.replication.loaded && c.since(c.service.answeredAt) < 2*time.Second && c.service.failures == 0}
 		if c.registered() {
 			h.Run = c.run
 			c.withdrawalHint(&h)
@@ -409,76 +350,3 @@
 // lateTicks is a mean distance of ticks that shows a process short of time: five
 // times what it should be.
 const lateTicks = 250 * time.Millisecond
-
-func (c *Core) onLoad(v LoadResult) {
-	c.loading = false
-	if !c.heard(c.loadAsk, v.Err) {
-		c.retryAt = c.now.Steady.Add(c.jitter(500 * time.Millisecond))
-		return
-	}
-	// Records deleted while this node did not follow must not stay: begin anew.
-	old := c.replica
-	c.replica = bk.NewReplica()
-	c.replica.Changed = c.onChanged
-	clear(c.assignedAt)
-	for _, i := range v.Items {
-		c.replicaPut(i.Key, i.Data, i.Stamp)
-	}
-	for _, e := range old.List() {
-		if id := e.ID; c.replica.Machines[id] == nil {
-			if m := c.machines[id]; m != nil {
-				c.dropHeld(m)
-				delete(c.machines, id)
-			}
-		}
-	}
-	c.replica.Rev = v.From
-	c.until = v.Until
-	c.replicaAt = c.loadAsk
-	c.begun = true
-	c.loaded = c.replica.Rev >= c.until
-	c.applyLimits()
-	c.log(slog.LevelInfo, "records read", "jobs", len(c.replica.Jobs), "machines", len(c.replica.Machines), "revision", uint64(v.From))
-}
-
-func (c *Core) replicaPut(key string, data json.RawMessage, stamp protocol.Stamp) {
-	before := c.format()
-	if _, err := c.replica.Put(key, data, stamp); err != nil {
-		c.log(slog.LevelError, "unreadable record is left alone", "key", key, "err", err.Error())
-	}
-	if c.format() != before {
-		c.applyLimits()
-	}
-}
-
-func (c *Core) onFollow(v FollowResult) {
-	c.following = false
-	if errors.Is(v.Err, bk.ErrTooOld) {
-		c.log(slog.LevelWarn, "changes are no longer kept, records are read again", "from", uint64(v.From))
-		c.loaded, c.begun = false, false
-		c.retryAt = c.now.Steady
-		return
-	}
-	if !c.heard(c.followAsk, v.Err) {
-		c.retryAt = c.now.Steady.Add(c.jitter(200 * time.Millisecond))
-		return
-	}
-	if v.From != c.replica.Rev {
-		return
-	}
-	for _, n := range v.News.News {
-		if n.Put != "" {
-			c.replicaPut(n.Put, n.Data, n.Stamp)
-		} else {
-			c.replica.Delete(n.Delete, n.Stamp)
-		}
-	}
-	c.onLost()
-	c.stirred = true
-	c.replica.Rev = max(c.replica.Rev, v.News.Rev)
-	c.replicaAt = c.followAsk
-	if !c.loaded && c.replica.Rev >= c.until {
-		c.loaded = true
-	}
-	c.checkSelf()
-}
--- a/internal/coordination/lease.go
+++ b/internal/coordination/lease.go
@@ -75,7 +75,7 @@
 
 // tickRuns notes since when runs are dead, so that takeovers spread out.
 func (c *Core) tickRuns() {
-	if !c.loaded {
+	if !c.replication.loaded {
 		return
 	}
 	c.observeVersions()
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -34,7 +34,7 @@
 		c.reply(v.Req, 400, errorBody{err.Error()})
 		return
 	}
-	if !c.loaded {
+	if !c.replication.loaded {
 		c.reply(v.Req, 503, errorBody{"not ready"})
 		return
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -277,7 +277,7 @@
 	if c.answerFinal(w.req, w.verb, w.id) {
 		return true
 	}
-	if w.abort || w.rev == 0 || c.replica.Rev < w.rev || !c.loaded {
+	if w.abort || w.rev == 0 || c.replica.Rev < w.rev || !c.replication.loaded {
 		return false
 	}
 	e := c.replica.Jobs[w.id]
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -9,7 +9,7 @@
 
 // tickMachines looks after owned machines: stops that are due, silence, release.
 func (c *Core) tickMachines() {
-	if !c.loaded {
+	if !c.replication.loaded {
 		return
 	}
 	c.watchGangs()
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -212,7 +212,7 @@
 
 // tickWithdrawals finds out which withdrawals can be told, and what others are told.
 func (c *Core) tickWithdrawals() {
-	if !c.loaded {
+	if !c.replication.loaded {
 		return
 	}
 	for id, k := range c.cancellations.told {
@@ -356,7 +356,7 @@
 // down for all, so that nobody can take them over. If a task of a job that is called off
 // may be there, the worker is asked; one that does not answer goes back.
 func (c *Core) lastResort() {
-	if !c.loaded || !c.outForAll() {
+	if !c.replication.loaded || !c.outForAll() {
 		return
 	}
 	ids := pick(c.replica.Machines, func(e *bk.Machine) bool { return !c.mine(&e.Rec) && len(e.Rec.Assigned) > 0 })
