--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -16,38 +16,49 @@
 
 // flush sends the next transaction if there is something to write.
 func (c *Core) flush() {
-	now := c.now.Steady
 	c.flushUsers()
-	if c.tx != nil || !c.replication.loaded || now < c.flushAt || c.lease.id == 0 {
+	if c.tx != nil || !c.replication.loaded || c.now.Steady < c.flushAt || c.lease.id == 0 {
 		return
 	}
-	if c.replica.Rev < c.minRev && c.since(c.minRevAt) < 2*time.Second {
+	if c.replica.Rev < c.minRev && c.since(c.minRevAt) < minRevWait {
 		return
 	}
-	if !c.registered() {
+	switch {
+	case !c.registered():
 		c.register()
-		return
-	}
-	if c.fence {
-		e := c.replica.Members[c.cfg.Member]
-		if e == nil || !c.spend(1) {
-			return
-		}
-		rec := e.Rec
-		rec.Fence++
-		c.send(&txn{fence: true, multi: protocol.Multi{When: []protocol.When{c.selfWhen()},
-			Then: []protocol.Then{{Put: bk.MemberKey(c.cfg.Member), Data: bk.JSON(rec), Tenancy: c.lease.id}}}})
-		return
+	case c.fence:
+		c.sendFence()
+	case c.replica.Rev < c.minRev || c.raiseFormat():
+	default:
+		c.flushRecords()
 	}
-	if c.replica.Rev < c.minRev || c.raiseFormat() {
+}
+
+// minRevWait is how long the replica is waited for before a run registers or sends a
+// fence all the same.
+const minRevWait = 2 * time.Second
+
+// sendFence rewrites this run's key, so that whatever was sent before is applied by now
+// or never will be.
+func (c *Core) sendFence() {
+	e := c.replica.Members[c.cfg.Member]
+	if e == nil || !c.spend(1) {
 		return
 	}
+	rec := e.Rec
+	rec.Fence++
+	c.send(&txn{fence: true, multi: protocol.Multi{When: []protocol.When{c.selfWhen()},
+		Then: []protocol.Then{{Put: bk.MemberKey(c.cfg.Member), Data: bk.JSON(rec), Tenancy: c.lease.id}}}})
+}
+
+// flushRecords sends what there is to write of jobs and machines.
+func (c *Core) flushRecords() {
 	tokens := int(c.tokens.TokensAt(c.steady()))
 	room := min(tokens, c.txCap)
 	if room < 1 {
 		return
 	}
-	if len(c.halts)+len(c.adopting)+len(c.deadAt) == 0 && now < c.nextPlan() {
+	if len(c.halts)+len(c.adopting)+len(c.deadAt) == 0 && c.now.Steady < c.nextPlan() {
 		return
 	}
 	b := c.newBatch(room)
@@ -58,32 +69,42 @@
 	// written once for many tasks, instead of with each of them. What users ask
 	// for does not wait behind it: a few tokens are left for them.
 	fair := min(c.limits().TxnOps, int(c.limits().RPS*c.cfg.WriteShare/2))
-	if tokens >= max(fair, c.gangNeeds) && now >= c.nextPlan() {
+	if tokens >= max(fair, c.gangNeeds) && c.now.Steady >= c.nextPlan() {
 		b.room = min(b.room, tokens-c.kept())
-		// A gang is written whole or not at all. One that found no room behind
-		// what ends all the time goes first the next time.
-		first := c.gangNeeds > 0
-		c.gangNeeds = 0
-		if first {
-			c.place(b)
-		}
-		c.splitPages(b)
-		c.joinPages(b)
-		c.settleDone(b)
-		// Own pages have news all the time; some room is left for others' pages, or what
-		// is free there would wait for ever.
-		keep := 0
-		if c.planned.abroad && c.partial {
-			keep = b.room / 4
-		}
-		b.room -= keep
-		c.writeMachines(b)
-		b.room += keep
-		c.writeCloud(b)
-		if !first {
-			c.place(b)
-		}
+		c.writePlan(b)
+	}
+	c.sendBatch(b, tokens)
+}
+
+// writePlan puts the news of own machines and the next plan into the transaction.
+func (c *Core) writePlan(b *batch) {
+	// A gang is written whole or not at all. One that found no room behind
+	// what ends all the time goes first the next time.
+	first := c.gangNeeds > 0
+	c.gangNeeds = 0
+	if first {
+		c.place(b)
+	}
+	c.splitPages(b)
+	c.joinPages(b)
+	c.settleDone(b)
+	// Own pages have news all the time; some room is left for others' pages, or what
+	// is free there would wait for ever.
+	keep := 0
+	if c.planned.abroad && c.partial {
+		keep = b.room / 4
+	}
+	b.room -= keep
+	c.writeMachines(b)
+	b.room += keep
+	c.writeCloud(b)
+	if !first {
+		c.place(b)
 	}
+}
+
+// sendBatch sends a transaction unless there is nothing in it.
+func (c *Core) sendBatch(b *batch, tokens int) {
 	if b.empty() {
 		return
 	}
@@ -159,6 +180,7 @@
 		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run, Reads: bk.FormatPacked}), Tenancy: c.lease.id}}}})
 }
 
+// committed takes in the outcome of a transaction.
 func (c *Core) committed(v CommitResult) {
 	t, next := c.tx, &c.flushAt
 	if c.userTx != nil && c.userTx.id == v.ID {
@@ -172,18 +194,22 @@
 	} else {
 		c.tx = nil
 	}
-	now := c.now.Steady
-	*next = now
-	switch v.Outcome {
-	case bk.Applied, bk.Conflict, bk.Busy, bk.NoLease, bk.Invalid:
-		c.heard(t.sent, nil)
-	default:
-		err := v.Err
+	c.noteOutcome(t, &v)
+	*next = c.now.Steady.Add(c.settleTxn(t, &v))
+}
+
+// noteOutcome takes in what an outcome says of the state service and its budget.
+func (c *Core) noteOutcome(t *txn, v *CommitResult) {
+	err := v.Err
+	switch {
+	case v.Outcome == bk.Refused || v.Outcome == bk.Unknown:
 		if err == nil {
 			err = errOutcome
 		}
-		c.heard(t.sent, err)
+	default:
+		err = nil
 	}
+	c.heard(t.sent, err)
 	if v.Outcome != bk.Busy {
 		c.busyCount = 0
 	}
@@ -191,49 +217,31 @@
 	case bk.Applied, bk.Conflict, bk.Busy:
 		c.adapt(v.Outcome == bk.Busy)
 	}
+}
+
+// settleTxn draws the consequences of an outcome, and tells how long the next
+// transaction has to wait.
+func (c *Core) settleTxn(t *txn, v *CommitResult) (wait time.Duration) {
 	switch v.Outcome {
 	case bk.Applied:
-		c.out = append(c.out, t.logs...)
-		stamp := protocol.Stamp(v.Answer.Rev)
-		for _, th := range t.multi.Then {
-			if th.Put != "" {
-				c.replicaPut(th.Put, th.Data, stamp)
-			} else {
-				c.replica.Delete(th.Delete, stamp)
-			}
-		}
-		c.onLost()
-		c.txCap = c.limits().TxnOps
-		switch {
-		case t.reg:
-			c.run = bk.NewRun(c.cfg.Member, c.lease.id)
-			c.self = stamp
-			c.waitRev(v.Answer.Rev)
-			c.log(slog.LevelInfo, "run registered", "run", string(c.run))
-		case t.fence:
-			// Transactions sent before are now either applied, and seen once
-			// the replica is as new, or never will be.
-			c.fence = false
-			c.self = stamp
-			c.waitRev(v.Answer.Rev)
-		}
+		c.applied(t, v.Answer.Rev)
 	case bk.Conflict:
 		c.log(slog.LevelDebug, "transaction refused, records have moved on", "keys", v.Answer.Failed)
 		c.waitRev(v.Answer.Rev)
-		*next = now.Add(c.jitter(20 * time.Millisecond))
+		wait = c.jitter(20 * time.Millisecond)
 		c.checkSelf()
 	case bk.Busy:
 		c.busyCount++
-		*next = now.Add(c.jitter(min(50*time.Millisecond<<min(c.busyCount, 4), time.Second)))
+		wait = c.jitter(min(50*time.Millisecond<<min(c.busyCount, 4), time.Second))
 	case bk.NoLease:
 		c.self, c.lease.id = 0, 0
 	case bk.Refused:
-		*next = now.Add(c.jitter(300 * time.Millisecond))
+		wait = c.jitter(300 * time.Millisecond)
 	case bk.Invalid:
 		c.log(slog.LevelError, "transaction called malformed", "err", errText(v.Err))
 		// Whatever made it too large, a smaller one gets on.
 		c.tooLarge(&t.multi)
-		*next = now.Add(200 * time.Millisecond)
+		wait = 200 * time.Millisecond
 	case bk.Unknown:
 		// It may be applied now, later or never. Only a fence settles it.
 		c.log(slog.LevelWarn, "transaction without outcome", "err", errText(v.Err))
@@ -242,7 +250,36 @@
 		} else {
 			c.lease.id = 0 // register with a new lease; the old run's name is not used
 		}
-		*next = now.Add(c.jitter(200 * time.Millisecond))
+		wait = c.jitter(200 * time.Millisecond)
+	}
+	return wait
+}
+
+// applied takes a transaction's changes into the replica.
+func (c *Core) applied(t *txn, rev protocol.Rev) {
+	c.out = append(c.out, t.logs...)
+	stamp := protocol.Stamp(rev)
+	for _, th := range t.multi.Then {
+		if th.Put != "" {
+			c.replicaPut(th.Put, th.Data, stamp)
+		} else {
+			c.replica.Delete(th.Delete, stamp)
+		}
+	}
+	c.onLost()
+	c.txCap = c.limits().TxnOps
+	switch {
+	case t.reg:
+		c.run = bk.NewRun(c.cfg.Member, c.lease.id)
+		c.self = stamp
+		c.waitRev(rev)
+		c.log(slog.LevelInfo, "run registered", "run", string(c.run))
+	case t.fence:
+		// Transactions sent before are now either applied, and seen once
+		// the replica is as new, or never will be.
+		c.fence = false
+		c.self = stamp
+		c.waitRev(rev)
 	}
 }
 
