--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -15,13 +15,7 @@
 	d := q.rec.Desc
 	left := d.Tasks - q.done
 	if q.placed > 0 {
-		for _, r := range rooms {
-			for _, h := range r.used {
-				if h.job == q.id {
-					c.planned.busy[r.id] = true
-				}
-			}
-		}
+		c.keepGang(q, rooms)
 		c.finishGang(b, q, rooms)
 		return
 	}
@@ -32,6 +26,36 @@
 	if d.OneZone {
 		zones = c.zones()
 	}
+	best := c.gangChoice(b, q, rooms, zones, left)
+	switch {
+	case best == nil:
+		c.makeRoom(b, q, rooms, zones, left)
+	case c.gangWritable(b, q, best):
+		c.writeGang(b, q, best, left)
+	default:
+		for _, s := range best {
+			q.put(s.r, s.n, 0)
+			c.planned.busy[s.r.id] = true
+			c.planned.expects[s.r.id] = true
+		}
+	}
+}
+
+// keepGang keeps the machines on which a gang has tasks.
+func (c *Core) keepGang(q *queued, rooms []*room) {
+	for _, r := range rooms {
+		for _, h := range r.used {
+			if h.job == q.id {
+				c.planned.busy[r.id] = true
+			}
+		}
+	}
+}
+
+// gangChoice chooses where the tasks of a gang go; nil: room is to be made for them. To
+// stop what ranks lower is quicker than to wait for a machine that boots, or for an
+// image where others have it.
+func (c *Core) gangChoice(b *batch, q *queued, rooms []*room, zones []protocol.Zone, left int) []share {
 	var best []share
 	for _, z := range zones {
 		s := c.gangShares(b, q, rooms, z, left, nil)
@@ -39,56 +63,52 @@
 			best = s
 		}
 	}
-	// To stop what ranks lower is quicker than to wait for a machine that boots,
-	// or for an image where others have it.
+	d := q.rec.Desc
 	if kept := c.roomKept(q, rooms, left); kept != nil {
-		best = kept // once it is empty
-		for _, s := range kept {
-			if s.r.fits(d) < s.n {
-				best = nil
-			}
+		if slices.ContainsFunc(kept, func(s share) bool { return s.r.fits(d) < s.n }) {
+			return nil // once it is empty
 		}
-	} else if best != nil && (c.recordable(best) && (c.slow(best, d, true) && c.cheapestRoom(q, rooms, zones, left, true) != nil ||
-		c.slow(best, d, false) && c.cheapestRoom(q, rooms, zones, left, false) != nil)) {
-		best = nil
+		return kept
 	}
-	if best == nil {
-		c.makeRoom(b, q, rooms, zones, left)
-		return
+	if best != nil && c.recordable(best) && (c.slow(best, d, true) && c.cheapestRoom(q, rooms, zones, left, true) != nil ||
+		c.slow(best, d, false) && c.cheapestRoom(q, rooms, zones, left, false) != nil) {
+		return nil
 	}
+	return best
+}
+
+// gangWritable tells whether this run writes the choice now. A gang too large for one
+// transaction is written in several; nobody starts a task of it before the last one.
+func (c *Core) gangWritable(b *batch, q *queued, choice []share) bool {
 	ours := c.ours(b, q) && c.now.Steady >= c.jstate(q.id).notBefore
 	var ids []protocol.MachineID
-	for _, s := range best {
+	for _, s := range choice {
 		if s.r.coming {
-			ours = false
-			break
+			return false
 		}
 		ids = append(ids, s.r.id)
 		ours = ours && b.roomy(s.r.rec)
 	}
-	// A gang too large for one transaction is written in several; nobody
-	// starts a task of it before the last one.
-	if ours {
-		if fits, alone := b.fits(ids); alone > 0 && !fits {
-			ours = false
-			if c.gangNeeds == 0 {
-				c.gangNeeds = alone + c.kept()
-			}
-		}
-	}
 	if !ours {
-		for _, s := range best {
-			q.put(s.r, s.n, 0)
-			c.planned.busy[s.r.id] = true
-			c.planned.expects[s.r.id] = true
-		}
-		return
+		return false
 	}
+	fits, alone := b.fits(ids)
+	if alone == 0 || fits {
+		return true
+	}
+	if c.gangNeeds == 0 {
+		c.gangNeeds = alone + c.kept()
+	}
+	return false
+}
+
+// writeGang writes as much of the choice as the transaction takes.
+func (c *Core) writeGang(b *batch, q *queued, choice []share, left int) {
 	open := c.openTasks(b, q, left)
 	try := c.jstate(q.id).next
 	b.marks = append(b.marks, func() { c.jstate(q.id).building = try })
-	for _, s := range best {
-		if c.writable(b, s.r, d) {
+	for _, s := range choice {
+		if c.writable(b, s.r, q.rec.Desc) {
 			b.assign(s.r.id, q.id, open[:s.n], try)
 			c.hurry(b, s.r.id)
 			c.placed(b, q, s.r, s.n, try)
--- a/internal/standin/upgrade_test.go
+++ b/internal/standin/upgrade_test.go
@@ -124,41 +124,47 @@
 			for seed := uint64(1); seed <= seeds(); seed++ {
 				w := upgradeWorld(t, seed)
 				w.Drop = day.drop
-				ids := submitMix(w, 30)
-				big := array("j-700000", "l", "standard", 900, 1, 5)
-				w.At(seconds(2), func() { w.Submit(big) })
-				ids = append(ids, big.UID)
 				day.trouble(w)
-				w.At(seconds(day.tighten), w.tighten)
-				var services []protocol.JobID
-				for i := range 6 {
-					d := daemon(protocol.JobID(fmt.Sprintf("j-8%05d", i)), 2+i%4)
-					d.Spread = i%2 == 0
-					w.At(seconds(day.tighten+2+2*float64(i)), func() { w.Submit(d) })
-					services = append(services, d.UID)
-				}
-				w.Run(seconds(130))
-				w.Drop, w.Copies = 0, 0
-				w.Rules.Calm = w.Now
-				refused := w.State.Over
-				w.Run(seconds(140))
-				w.Rules.End(w.Now)
-				checkUpgraded(t, w, seed, refused)
-				for _, id := range ids {
-					if !w.Done[id] {
-						t.Errorf("seed %d: %s has not come to its end", seed, id)
-					}
-				}
-				for _, id := range services {
-					if d := w.Jobs[id]; !w.Rules.job(id).wanted && w.Rules.replicas(id, d) != d.Tasks {
-						t.Errorf("seed %d: %d of %d replicas of %s are up", seed, w.Rules.replicas(id, d), d.Tasks, id)
-					}
-				}
+				playUpgrade(t, w, seed, day.tighten)
 			}
 		})
 	}
 }
 
+// playUpgrade plays an upgrade day: all kinds of jobs before and while the limits
+// tighten, daemons behind that.
+func playUpgrade(t *testing.T, w *World, seed uint64, tighten float64) {
+	ids := submitMix(w, 30)
+	big := array("j-700000", "l", "standard", 900, 1, 5)
+	w.At(seconds(2), func() { w.Submit(big) })
+	ids = append(ids, big.UID)
+	w.At(seconds(tighten), w.tighten)
+	var services []protocol.JobID
+	for i := range 6 {
+		d := daemon(protocol.JobID(fmt.Sprintf("j-8%05d", i)), 2+i%4)
+		d.Spread = i%2 == 0
+		w.At(seconds(tighten+2+2*float64(i)), func() { w.Submit(d) })
+		services = append(services, d.UID)
+	}
+	w.Run(seconds(130))
+	w.Drop, w.Copies = 0, 0
+	w.Rules.Calm = w.Now
+	refused := w.State.Over
+	w.Run(seconds(140))
+	w.Rules.End(w.Now)
+	checkUpgraded(t, w, seed, refused)
+	for _, id := range ids {
+		if !w.Done[id] {
+			t.Errorf("seed %d: %s has not come to its end", seed, id)
+		}
+	}
+	for _, id := range services {
+		if d := w.Jobs[id]; !w.Rules.job(id).wanted && w.Rules.replicas(id, d) != d.Tasks {
+			t.Errorf("seed %d: %d of %d replicas of %s are up", seed, w.Rules.replicas(id, d), d.Tasks, id)
+		}
+	}
+}
+
 // checkUpgraded checks what must hold at the end of each upgrade.
 func checkUpgraded(t *testing.T, w *World, seed uint64, refused int) {
 	t.Helper()
