--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -112,7 +112,7 @@
 // stray is a report that came to a node that does not own its machine.
 type stray struct {
 	at    protocol.Instant
-	shift protocol.Session
+	session protocol.Session
 	tally protocol.Tally
 	shown bool // its worker has answered here since
 }
@@ -310,7 +310,7 @@
 			h.Fit = c.strainAt == 0 && (c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute)
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
-					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
+					h.Seen = append(h.Seen, Seen{id, s.session, s.tally})
 				}
 			}
 		}
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -173,7 +173,7 @@
 func TestSeenElsewhere(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		shift protocol.Session
+		session protocol.Session
 		tally protocol.Tally
 		want  bool
 	}{
@@ -189,7 +189,7 @@
 		if _, err := core.replica.Put(bk.MemberKey("stall-1"), []byte(`{"r":"stall-1#1"}`), 3); err != nil {
 			t.Fatal(err)
 		}
-		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: []Seen{{"m-1", c.shift, c.tally}}}})
+		step(0, HintInput{Hint{Member: "stall-1", Run: "stall-1#1", Seen: []Seen{{"m-1", c.session, c.tally}}}})
 		if got := m.handTo == "stall-1#1"; got != c.want {
 			t.Errorf("%s: handed over %v", c.name, got)
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -31,7 +31,7 @@
 	// Whether what is sent to the worker arrives. Its reports may come in all
 	// the while: they say nothing of the way back.
 	owed      bool // the last answer had a start, or a token, that the worker must show
-	owedShift protocol.Session
+	owedSession protocol.Session
 	doubtAt   protocol.Instant // since when it is not sure that it hears; 0: it does
 	failAt    protocol.Instant // when the first of the direct commands failed that have failed in a row
 	fails     int              // and how many those are
@@ -240,8 +240,8 @@
 	}
 }
 
-func older(r *protocol.Report, shift protocol.Session, tally protocol.Tally) bool {
-	return r.Session < shift || r.Session == shift && r.Tally <= tally
+func older(r *protocol.Report, session protocol.Session, tally protocol.Tally) bool {
+	return r.Session < session || r.Session == session && r.Tally <= tally
 }
 
 // onLost forgets machines that have left the records.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -13,11 +13,11 @@
 // that answers nobody, or a late copy, is no reason to hand anything over.)
 func (c *Core) stray(r *protocol.Report) {
 	s, ok := c.strayed[r.Machine]
-	if ok && (r.Session < s.shift || r.Session == s.shift && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
+	if ok && (r.Session < s.session || r.Session == s.session && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
 		return
 	}
 	if c.doing < maxDoing {
-		c.strayed[r.Machine] = stray{at: c.now.Steady, shift: r.Session, tally: r.Tally}
+		c.strayed[r.Machine] = stray{at: c.now.Steady, session: r.Session, tally: r.Tally}
 		c.doing++
 		c.emit(SendShow{r.Machine, r.Addr})
 	}
@@ -119,12 +119,12 @@
 // session has ended. Whether it hears is then asked directly.
 func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
 	switch {
-	case r.Session > m.owedShift && m.owedShift != 0, m.owed && (r.FencingToken < m.token || !m.showsStarts(r)):
+	case r.Session > m.owedSession && m.owedSession != 0, m.owed && (r.FencingToken < m.token || !m.showsStarts(r)):
 		c.doubt(m)
 	case m.owed:
 		c.hears(m)
 	}
-	m.owed, m.owedShift = false, r.Session
+	m.owed, m.owedSession = false, r.Session
 }
 
 func (c *Core) doubt(m *mstate) {
@@ -465,16 +465,16 @@
 	if m.doOut || m.doAt != 0 && c.since(m.doAt) < again || e.Rec.Addr == "" || len(orders) == 0 && c.doing >= maxDoing {
 		return
 	}
-	shift := e.Rec.Session
-	if m.rep != nil && m.rep.Session > shift {
-		shift = m.rep.Session
+	session := e.Rec.Session
+	if m.rep != nil && m.rep.Session > session {
+		session = m.rep.Session
 	}
-	if shift == 0 {
+	if session == 0 {
 		return
 	}
 	m.doOut, m.doAt = true, c.now.Steady
 	c.doing++
-	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{FencingToken: e.Rec.FencingToken, Session: shift, Orders: orders}})
+	c.emit(SendDo{m.id, e.Rec.Addr, protocol.Orders{FencingToken: e.Rec.FencingToken, Session: session, Orders: orders}})
 }
 
 // show asks the worker of a machine that this run does not own for its report.
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -66,6 +66,6 @@
 	if period <= 0 || margin <= 0 || age < 0 {
 		return false
 	}
-	shift := time.Duration(weight("period", string(id)) % uint64(period))
-	return period-(age+shift)%period < margin
+	session := time.Duration(weight("period", string(id)) % uint64(period))
+	return period-(age+session)%period < margin
 }
