--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -111,10 +111,10 @@
 
 // stray is a report that came to a node that does not own its machine.
 type stray struct {
-	at    protocol.Instant
+	at      protocol.Instant
 	session protocol.Session
-	tally protocol.Tally
-	shown bool // its worker has answered here since
+	tally   protocol.Tally
+	shown   bool // its worker has answered here since
 }
 
 // stoodStill is a pause between steps that is this process's own doing: its timer
--- a/internal/coordination/core_test.go
+++ b/internal/coordination/core_test.go
@@ -172,10 +172,10 @@
 // copy of one that it has.
 func TestSeenElsewhere(t *testing.T) {
 	for _, c := range []struct {
-		name  string
+		name    string
 		session protocol.Session
-		tally protocol.Tally
-		want  bool
+		tally   protocol.Tally
+		want    bool
 	}{
 		{"newer report", 2, 8, true},
 		{"newer session", 3, 1, true},
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -30,12 +30,12 @@
 
 	// Whether what is sent to the worker arrives. Its reports may come in all
 	// the while: they say nothing of the way back.
-	owed      bool // the last answer had a start, or a token, that the worker must show
+	owed        bool // the last answer had a start, or a token, that the worker must show
 	owedSession protocol.Session
-	doubtAt   protocol.Instant // since when it is not sure that it hears; 0: it does
-	failAt    protocol.Instant // when the first of the direct commands failed that have failed in a row
-	fails     int              // and how many those are
-	deafAt    protocol.Instant // since when it is sure that it does not
+	doubtAt     protocol.Instant // since when it is not sure that it hears; 0: it does
+	failAt      protocol.Instant // when the first of the direct commands failed that have failed in a row
+	fails       int              // and how many those are
+	deafAt      protocol.Instant // since when it is sure that it does not
 
 	// Starts in the answer that the worker may not have carried out yet. A
 	// report that lacks them proves nothing while they are in flight.
