--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -111,10 +111,10 @@
 
 // stray is a report that came to a node that does not own its machine.
 type stray struct {
-	at    protocol.Instant
-	shift protocol.Session
-	tally protocol.Tally
-	shown bool // its worker has answered here since
+	at      protocol.Instant
+	session protocol.Session
+	tally   protocol.Tally
+	shown   bool // its worker has answered here since
 }
 
 // stoodStill is a pause between steps that is this process's own doing: its timer
@@ -310,7 +310,7 @@
 			h.Fit = c.strainAt == 0 && (c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute)
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
-					h.Seen = append(h.Seen, Seen{id, s.shift, s.tally})
+					h.Seen = append(h.Seen, Seen{id, s.session, s.tally})
 				}
 			}
 		}
