Replicas share a machine if there is no other; pauses are known to whoever places the next ones

Cause of the first: at most half of a job's replicas went to one machine, so with a single machine the others waited for ever though it had room (left_waiting in the stand-ins). Cause of the second: only the owner of a machine paused a replica that failed there, and it was placed again in the transaction that took it back: up to four times as many starts. Both have tests that fail without.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -23,6 +23,7 @@
 	machines map[protocol.MachineID]*bk.MachineRecord
 	teams    map[string]bool
 	done     map[protocol.JobID]bk.Ranges // tasks that are done by what is in the batch
+	failed   map[protocol.JobID]bool      // daemons of which a replica has ended
 	roll     bool                         // a machine is put on record
 	marks    []func()                     // what to remember once it is sent
 	logs     []Effect                     // lines for the operator once it is applied
@@ -42,7 +43,7 @@
 
 func (c *Core) newBatch(room int) *batch {
 	return &batch{c: c, room: room, when: map[string]protocol.Stamp{}, jobs: map[protocol.JobID]*bk.JobRecord{},
-		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, done: map[protocol.JobID]bk.Ranges{}}
+		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, done: map[protocol.JobID]bk.Ranges{}, failed: map[protocol.JobID]bool{}}
 }
 
 // on makes the transaction depend on a key as the replica has it.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -259,6 +259,9 @@
 // been on a machine, and which images it has.
 func (c *Core) onChanged(id protocol.MachineID, before, after *bk.MachineRecord) {
 	c.stirred = true
+	if before != nil && after != nil {
+		c.noteEndedReplicas(id, before, after)
+	}
 	if before != nil {
 		for i := range before.Assigned {
 			a := &before.Assigned[i]
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -349,8 +349,8 @@
 		return false
 	}
 	c.requeue(b, m, t, try)
-	if daemon && !c.mstopped(m, t, try) && !c.calledOff(t.Job) {
-		b.marks = append(b.marks, func() { c.replicaEnded(m, t) })
+	if daemon {
+		b.failed[t.Job] = true // how soon it is tried again shows once this is written
 	}
 	if p.Cause == protocol.CauseDone && !daemon {
 		return true
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
 
@@ -27,7 +28,8 @@
 	replicaRun = 60
 	// spotReplica puts spot machines behind all others for replicas.
 	spotReplica = 400
-	// quickEnd is a run of a replica that counts as a failure when it ends by itself.
+	// quickEnd is the time from its placement within which the end of a replica counts as
+	// a failure.
 	quickEnd = 20 * time.Second
 	// Bounds of the pause before a replica of a job that fails again and again.
 	firstPause = time.Second
@@ -47,7 +49,7 @@
 	if p.left <= 0 {
 		return
 	}
-	p.ours = c.ours(b, q) && c.now.Steady >= c.jstate(q.id).notBefore
+	p.ours = c.ours(b, q) && c.now.Steady >= c.jstate(q.id).notBefore && !b.failed[q.id]
 	if p.ours {
 		p.open = c.openTasks(b, q, p.left)
 		p.left = min(p.left, len(p.open))
@@ -71,6 +73,9 @@
 	p.onFree(anywhere)
 	p.byStopping(anywhere)
 	p.byChoice(anywhere)
+	// To run beside each other is better than not to run.
+	p.crowd = true
+	p.onFree(anywhere)
 	q.leaves = nil
 	p.onFree(anywhere)
 	if p.left > 0 && q.rec.Claim == c.run {
@@ -90,16 +95,19 @@
 	left  int
 	here  map[protocol.MachineID]int // replicas of the job on a machine
 	used  map[protocol.MachineID]int // replicas that the choice on record has been used for
-	// No second replica goes to a machine.
-	spread bool
+	// How many replicas of the job a machine may have: spread: one; crowd: any number.
+	spread, crowd bool
 }
 
 // most is how many more replicas of the job the machine should have: half of them at
-// most, so that the loss of one machine does not stop the service.
+// most, as long as there are others, so that the loss of one does not stop the service.
 func (p *replicaPlacement) most(r *room) int {
 	most := (p.q.rec.Desc.Tasks + 1) / 2
-	if p.spread {
+	switch {
+	case p.spread:
 		most = 1
+	case p.crowd:
+		most = p.q.rec.Desc.Tasks
 	}
 	return min(max(most-p.here[r.id], 0), p.left, p.q.zoneRoom(r.rec.Zone))
 }
@@ -160,7 +168,9 @@
 		room += min(c.freeable(r, q), p.most(r), p.leftOf(q.rec.Room, r))
 	}
 	if p.ours && room < p.left && p.b.hasRoom(p.b.needs("", q.id)) {
-		chosen = p.choose(good)
+		if better := p.choose(good, room); better != nil {
+			chosen = better
+		}
 	}
 	onRecord := c.replica.Jobs[q.id].Rec.Room
 	for _, r := range chosen {
@@ -182,8 +192,9 @@
 	return n
 }
 
-// choose puts machines on record on which room is made, if any do.
-func (p *replicaPlacement) choose(good func(*room) bool) []*room {
+// choose puts machines on record on which room is made, if that is for more replicas than
+// the choice on record is.
+func (p *replicaPlacement) choose(good func(*room) bool, onRecord int) []*room {
 	var choice []share
 	left := p.left
 	for _, r := range p.cheapest(good) {
@@ -192,7 +203,7 @@
 			left--
 		}
 	}
-	if len(choice) == 0 || !p.c.recordable(choice) {
+	if len(choice) <= onRecord || !p.c.recordable(choice) {
 		return nil
 	}
 	p.b.writeRoom(p.q.id, choice, "room is made for replicas")
@@ -336,11 +347,37 @@
 	return large
 }
 
-// replicaEnded takes in that a replica has ended by itself. One that does so soon is
-// tried ever less often, so that it neither uses up the writes nor hides others.
-func (c *Core) replicaEnded(m *mstate, t protocol.Task) {
-	j := c.jstate(t.Job)
-	if at := m.running[t]; at == begunBefore || at > 0 && c.since(at) > quickEnd {
+// noteEndedReplicas finds replicas that have left a machine's record though the machine
+// and its session go on: they have ended by themselves, or were stopped. All controllers
+// see it, so whoever places the next ones knows how the last ones fared.
+func (c *Core) noteEndedReplicas(id protocol.MachineID, before, after *bk.MachineRecord) {
+	if after.Session != before.Session {
+		return
+	}
+	for i := range before.Assigned {
+		a := &before.Assigned[i]
+		e := c.replica.Jobs[a.Job]
+		if e == nil || e.Rec.Desc == nil || !e.Rec.Desc.Daemon() || e.Rec.CalledOff() {
+			continue
+		}
+		left := 0
+		for b := range after.Of(a.Job) {
+			if b.Try == a.Try {
+				left = b.Tasks.Len()
+			}
+		}
+		if at, known := c.assignedAt[assignment{id, a.Job, a.Try}]; known && left < a.Tasks.Len() {
+			c.replicasEnded(a.Job, c.since(at))
+		}
+	}
+}
+
+// replicasEnded takes in that replicas have ended a while after they were placed. Those
+// that do so soon are tried ever less often, so that they neither use up the writes nor
+// hide others.
+func (c *Core) replicasEnded(id protocol.JobID, after time.Duration) {
+	j := c.jstate(id)
+	if after > quickEnd {
 		j.quickEnds, j.notBefore = 0, 0
 		clear(j.failedOn)
 		return
@@ -348,7 +385,7 @@
 	pause := min(firstPause<<min(j.quickEnds, 8), maxPause)
 	j.quickEnds++
 	j.notBefore = c.now.Steady.Add(pause)
-	c.log(slog.LevelInfo, "replica ended soon after its start", "task", t.String(), "pause_s", pause.Seconds())
+	c.log(slog.LevelInfo, "replica ended soon after its start", "job", string(id), "pause_s", pause.Seconds())
 }
 
 // mustMove tells whether a replica has to leave its machine: it will soon be taken, or
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -27,7 +27,7 @@
 	c.reply(req, 421, protocol.Redirect{Redirect: to})
 }
 
-// beat handles a worker's report.
+// report handles a worker's report.
 func (c *Core) report(v ReportInput) {
 	r, err := protocol.ParseReport(v.Body)
 	if err != nil {
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -207,28 +207,52 @@
 	}
 }
 
-// A replica that ends soon after its start is paused ever longer, up to a bound; one
-// that has run for a while begins anew at once.
+// A replica that ends soon after its placement, on whoever's machine, is paused ever
+// longer, up to a bound; one that has run for a while begins anew at once, and so does
+// one whose machine has begun a new session.
 func TestReplicaPauses(t *testing.T) {
 	c, step := begin(t)
-	m := c.mstate("m-1")
-	task := protocol.Task{Job: "j-1"}
-	c.replicaPut(bk.JobKey("j-1"), bk.JSON(bk.JobRecord{Desc: &protocol.Job{UID: "j-1", Shape: protocol.Daemon, Tasks: 1}}), 40)
-	var before time.Duration
-	for i := range 12 {
-		m.running[task] = c.now.Steady
+	job := bk.JobRecord{Desc: &protocol.Job{UID: "j-1", Shape: protocol.Daemon, Tasks: 1}}
+	c.replicaPut(bk.JobKey("j-1"), bk.JSON(job), 40)
+	rec := bk.MachineRecord{Session: 1, Type: "small", Zone: "a"}
+	stamp := protocol.Stamp(50)
+	put := func(try protocol.Attempt) {
+		r := rec
+		if r.Assigned = nil; try > 0 {
+			r.Assign(protocol.Task{Job: "j-1"}, try)
+		}
+		stamp++
+		c.replicaPut(bk.PageKey("p"), bk.EncodePage("stall-1#1", 3, []string{r.Line("m-1")}, nil), stamp)
+	}
+	pause := func() time.Duration { return c.jstate("j-1").notBefore.Sub(c.now.Steady) }
+	before := time.Duration(0)
+	for try := range protocol.Attempt(12) {
+		put(try + 1)
 		step(time.Second, Tick{})
-		c.replicaEnded(m, task)
-		pause := c.jstate("j-1").notBefore.Sub(c.now.Steady)
-		if pause < before || pause > maxPause || i == 11 && pause != maxPause {
-			t.Errorf("end %d: %v after %v", i, pause, before)
+		put(0)
+		if got := pause(); got < before || got <= 0 || got > maxPause || try == 11 && got != maxPause {
+			t.Errorf("end %d: %v after %v", try, got, before)
 		}
-		before = pause
+		before = pause()
 	}
-	m.running[task] = c.now.Steady
-	step(quickEnd+time.Second, Tick{})
-	if c.replicaEnded(m, task); c.jstate("j-1").notBefore > c.now.Steady || c.jstate("j-1").quickEnds != 0 {
-		t.Error("a replica that ran is paused")
+	for _, c := range []struct {
+		name string
+		end  func()
+	}{
+		{"it has run", func() {
+			step(quickEnd+time.Second, Tick{})
+			put(0)
+		}},
+		{"a new session", func() {
+			rec.Session++
+			put(0)
+		}},
+	} {
+		put(99)
+		c.end()
+		if got := pause(); got > 0 {
+			t.Errorf("%s: paused for %v", c.name, got)
+		}
 	}
 }
 
--- a/internal/standin/daemon_test.go
+++ b/internal/standin/daemon_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// Replicas share a machine if there is no other; as soon as there are others, half of
+// them at most stand on one.
+func TestReplicasShareTheOnlyMachine(t *testing.T) {
+	for _, machines := range []int{1, 4} {
+		w := NewWorld(3, 3, testFlavors, testTeams())
+		w.NoHire = true
+		for range machines {
+			w.Machine("small", "a", false, 0)
+		}
+		w.At(seconds(4), func() { w.Submit(daemon("j-1", 4)) })
+		w.Run(seconds(15))
+		if hosts := len(w.hosts("j-1")); w.up("j-1") != 4 || hosts < min(machines, 2) {
+			t.Errorf("%d machines: %d replicas are up on %d", machines, w.up("j-1"), hosts)
+		}
+		w.Rules.Calm = w.Now
+		w.Run(seconds(100))
+		if len(w.Rules.Broken) > 0 {
+			t.Errorf("%d machines: %v", machines, w.Rules.Broken)
+		}
+	}
+}
+
 // A replica that ends as soon as it starts is tried ever less often, and keeps nothing
 // else from running.
 func TestReplicaThatEndsAtOnce(t *testing.T) {
