One rule for the time an image takes, one for the limits, one way to read a record; repack sorts only what it finds

The image's fetch time stood in five places (score, gangs twice, boot time, replicas), today's limits in four, put a second time for jobs; FormatKey had a constant of its own; readBits could not fail; repack sorted all open jobs at each transaction, long after the last was repacked.

--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -140,6 +140,11 @@
 	return s, nil
 }
 
+func (p *platform) todaysLimits() coordination.WriteLimits {
+	st := p.Params.State
+	return coordination.WriteLimits{RPS: st.WriteRPS, TxnOps: st.TxnOps, ValueBytes: int(st.ValueKB * 1024)}
+}
+
 // nextLimits are the announced limits of the state service; what they leave out stays as
 // it is. nil: none are announced.
 func (p *platform) nextLimits() *coordination.WriteLimits {
@@ -147,7 +152,7 @@
 	if st.Next == nil {
 		return nil
 	}
-	next := coordination.WriteLimits{RPS: st.WriteRPS, TxnOps: st.TxnOps, ValueBytes: int(st.ValueKB * 1024)}
+	next := p.todaysLimits()
 	if st.Next.WriteRPS != nil {
 		next.RPS = *st.Next.WriteRPS
 	}
@@ -186,7 +191,7 @@
 		}
 	}
 	w, st := p.Params.Workers, p.Params.State
-	next := coordination.WriteLimits{RPS: st.WriteRPS, TxnOps: st.TxnOps, ValueBytes: int(st.ValueKB * 1024)}
+	next := p.todaysLimits()
 	if n := p.nextLimits(); n != nil {
 		next = *n
 	}
--- a/internal/bookkeeping/compact.go
+++ b/internal/bookkeeping/compact.go
@@ -56,13 +56,14 @@
 	if err != nil {
 		return fmt.Errorf("malformed ranges %q: %w", text, err)
 	}
-	if text[0] == compactBits {
-		return r.readBits(data)
+	if text[0] == compactRuns {
+		return r.readRuns(data)
 	}
-	return r.readRuns(data)
+	r.readBits(data)
+	return nil
 }
 
-func (r *Ranges) readBits(bits []byte) error {
+func (r *Ranges) readBits(bits []byte) {
 	for n := range 8 * len(bits) {
 		switch last := len(r.s) - 1; {
 		case bits[n/8]&(1<<(n%8)) == 0:
@@ -72,7 +73,6 @@
 			r.s = append(r.s, span{n, n})
 		}
 	}
-	return nil
 }
 
 func (r *Ranges) readRuns(runs []byte) error {
--- a/internal/bookkeeping/format.go
+++ b/internal/bookkeeping/format.go
@@ -17,7 +17,7 @@
 // FormatKey holds the format that may be written. It is raised once every controller of
 // the deployment has been seen to read that format, and never lowered. A version that
 // does not know the key ignores it.
-const FormatKey = formatKey
+const FormatKey = Prefix + "format"
 
 // FormatRecord is the value of FormatKey.
 type FormatRecord struct {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -17,7 +17,6 @@
 	pagePrefix   = Prefix + "p/"
 	memberPrefix = Prefix + "n/"
 	teamPrefix   = Prefix + "q/"
-	formatKey    = Prefix + "format"
 )
 
 // JobKey is the key of a job's record.
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -110,21 +110,19 @@
 	return 0
 }
 
-func put[K comparable, T any](m map[K]*Entry[T], k K, data json.RawMessage, stamp protocol.Stamp) error {
-	e := &Entry[T]{Stamp: stamp, Size: len(data)}
-	if err := json.Unmarshal(data, &e.Rec); err != nil {
-		return err
-	}
-	m[k] = e
-	return nil
+// decodeJSON reads a record that is written in plain JSON in every format.
+func decodeJSON[T any](data json.RawMessage) (rec T, err error) {
+	err = json.Unmarshal(data, &rec)
+	return rec, err
 }
 
-func putJob(jobs map[protocol.JobID]*Entry[JobRecord], id protocol.JobID, data json.RawMessage, stamp protocol.Stamp) error {
-	rec, err := decodeJob(data)
-	if err == nil {
-		jobs[id] = &Entry[JobRecord]{Rec: rec, Stamp: stamp, Size: len(data)}
+func put[K comparable, T any](m map[K]*Entry[T], k K, data json.RawMessage, stamp protocol.Stamp, decode func(json.RawMessage) (T, error)) error {
+	rec, err := decode(data)
+	if err != nil {
+		return err
 	}
-	return err
+	m[k] = &Entry[T]{Rec: rec, Stamp: stamp, Size: len(data)}
+	return nil
 }
 
 // Put takes in a key's value unless the replica has a newer one. fresh tells
@@ -138,7 +136,7 @@
 	case strings.HasPrefix(key, jobPrefix):
 		id := protocol.JobID(key[len(jobPrefix):])
 		delete(m.done, id)
-		if err = putJob(m.Jobs, id, data, stamp); err == nil {
+		if err = put(m.Jobs, id, data, stamp, decodeJob); err == nil {
 			e := m.Jobs[id]
 			delete(m.Withdrawing, id)
 			if e.Rec.Stage.Final() || e.Rec.Desc == nil {
@@ -150,7 +148,7 @@
 	case strings.HasPrefix(key, pagePrefix):
 		err = m.putPage(PageID(key[len(pagePrefix):]), data, stamp)
 	case strings.HasPrefix(key, memberPrefix):
-		err = put(m.Members, protocol.Member(key[len(memberPrefix):]), data, stamp)
+		err = put(m.Members, protocol.Member(key[len(memberPrefix):]), data, stamp, decodeJSON)
 	case strings.HasPrefix(key, teamPrefix):
 		m.Teams[key[len(teamPrefix):]] = stamp
 	case key == RollKey:
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -227,7 +227,7 @@
 func (c *Core) slow(list []share, d *protocol.Job, images bool) bool {
 	const roomMade = 6 // seconds that it takes to stop what runs, and to write it
 	return slices.ContainsFunc(list, func(s share) bool {
-		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.ImageGB/s.r.fl.FetchGBPerS > roomMade && !s.r.m.hasImage(d.Image)
+		return s.r.coming || images && fetchSeconds(s.r.fl, d) > roomMade && !s.r.m.hasImage(d.Image)
 	})
 }
 
@@ -427,8 +427,8 @@
 			wait = max(wait, h.desc.SaveS)
 		}
 	}
-	if !r.m.hasImage(d.Image) && r.fl.FetchGBPerS > 0 {
-		wait += d.ImageGB / r.fl.FetchGBPerS
+	if !r.m.hasImage(d.Image) {
+		wait += fetchSeconds(r.fl, d)
 	}
 	return cost + wait*d.Cores
 }
--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -20,24 +20,27 @@
 	return WriteLimits{RPS: min(l.RPS, o.RPS), TxnOps: min(l.TxnOps, o.TxnOps), ValueBytes: min(l.ValueBytes, o.ValueBytes)}
 }
 
+// todaysLimits are those that the state service has before any that are announced.
+func (cfg *Config) todaysLimits() WriteLimits {
+	return WriteLimits{RPS: cfg.WriteRPS, TxnOps: cfg.TxnOps, ValueBytes: cfg.ValueBytes}
+}
+
 // limits are those that everything written now keeps to. From the moment at which all
 // controllers read the packed format it is the tighter of today's and the announced
 // ones: the announced ones may hold at any time from then on, and nobody says when.
 func (c *Core) limits() WriteLimits {
-	now := WriteLimits{RPS: c.cfg.WriteRPS, TxnOps: c.cfg.TxnOps, ValueBytes: c.cfg.ValueBytes}
-	if c.cfg.NextLimits == nil || c.format() < bk.FormatPacked {
-		return now
+	if c.format() < bk.FormatPacked {
+		return c.cfg.todaysLimits()
 	}
-	return now.tighter(*c.cfg.NextLimits)
+	return c.acceptable()
 }
 
 // acceptable are the limits that a new job's record must keep to for good.
 func (c *Core) acceptable() WriteLimits {
-	now := WriteLimits{RPS: c.cfg.WriteRPS, TxnOps: c.cfg.TxnOps, ValueBytes: c.cfg.ValueBytes}
 	if c.cfg.NextLimits == nil {
-		return now
+		return c.cfg.todaysLimits()
 	}
-	return now.tighter(*c.cfg.NextLimits)
+	return c.cfg.todaysLimits().tighter(*c.cfg.NextLimits)
 }
 
 // applyLimits makes the write budget follow the limits.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -209,8 +209,8 @@
 	m := r.m
 	if j.Daemon() {
 		s += c.fetchTime(r, j).Seconds()
-	} else if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Image) {
-		s += min(j.ImageGB/r.fl.FetchGBPerS, 60)
+	} else if !m.hasImage(j.Image) {
+		s += min(fetchSeconds(r.fl, j), 60)
 	}
 	switch {
 	case r.rec.Spot && j.Daemon():
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -305,12 +305,12 @@
 	return cost + perSecond*(wait+c.fetchTime(r, q.rec.Desc).Seconds())
 }
 
-// fetchTime is how long a machine takes to fetch the job's image.
+// fetchTime is how long this machine takes until it has the job's image.
 func (c *Core) fetchTime(r *room, d *protocol.Job) time.Duration {
-	if r.fl.FetchGBPerS <= 0 || r.m.hasImage(d.Image) {
+	if r.m.hasImage(d.Image) {
 		return 0
 	}
-	fetch := protocol.Seconds(d.ImageGB / r.fl.FetchGBPerS)
+	fetch := protocol.Seconds(fetchSeconds(r.fl, d))
 	if r.m.fetching() {
 		fetch *= 2 // two images share the rate
 	}
--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -93,7 +93,7 @@
 
 // tooLarge takes in that the state service has called a transaction malformed.
 func (c *Core) tooLarge(m *protocol.Multi) {
-	if next := c.cfg.NextLimits; next != nil && c.format() < bk.FormatPacked && !c.acceptable().keepsTo(m) {
+	if c.cfg.NextLimits != nil && c.format() < bk.FormatPacked && !c.acceptable().keepsTo(m) {
 		c.upgrade.refused = true
 	}
 	c.shrink()
@@ -108,13 +108,16 @@
 		return
 	}
 	limit := c.limits().ValueBytes
-	for _, id := range c.ownPages() {
-		if c.replica.Pages[id].Size > limit && b.pages[id] == nil && b.hasRoom(c.pageOps(id)) {
+	// Once that is done there are none, at each transaction: only what is found is sorted.
+	pages := pick(c.replica.Pages, func(p *bk.Page) bool { return p.Owner == c.run && p.Size > limit })
+	for _, id := range pages {
+		if b.pages[id] == nil && b.hasRoom(c.pageOps(id)) {
 			b.page(id)
 		}
 	}
-	for _, id := range sorted(c.replica.Open) {
-		if e := c.replica.Open[id]; e.Size > limit && e.Rec.Claim == c.run && b.hasRoom(b.needs("", id)) {
+	jobs := pick(c.replica.Open, func(e *bk.Entry[bk.JobRecord]) bool { return e.Rec.Claim == c.run && e.Size > limit })
+	for _, id := range jobs {
+		if b.hasRoom(b.needs("", id)) {
 			b.job(id)
 		}
 	}
--- a/internal/coordination/warmpool.go
+++ b/internal/coordination/warmpool.go
@@ -130,11 +130,15 @@
 
 // startTime is how long a new machine of a type takes until it can run a task.
 func startTime(f *protocol.Flavor, d *protocol.Job) time.Duration {
-	s := f.ReadyS
-	if f.FetchGBPerS > 0 {
-		s += d.ImageGB / f.FetchGBPerS
+	return protocol.Seconds(f.ReadyS + fetchSeconds(f, d))
+}
+
+// fetchSeconds is how long a machine of a type takes to fetch the job's image.
+func fetchSeconds(f *protocol.Flavor, d *protocol.Job) float64 {
+	if f.FetchGBPerS <= 0 {
+		return 0
 	}
-	return protocol.Seconds(s)
+	return d.ImageGB / f.FetchGBPerS
 }
 
 // urgent tells whether a job's tasks have to begin sooner than machines can be relied
--- a/internal/standin/daemon_test.go
+++ b/internal/standin/daemon_test.go
@@ -22,17 +22,16 @@
 	return n
 }
 
-// taskStages are the tasks of a job that are on machines.
-func (w *World) taskStages(id protocol.JobID) map[protocol.Task]protocol.TaskStage {
-	on := map[protocol.Task]protocol.TaskStage{}
+// taken counts the tasks of a job that are on machines or on their way to run there.
+func (w *World) taken(id protocol.JobID) (n int) {
 	for _, m := range w.Workers {
 		for t, k := range m.tasks {
 			if t.Job == id && k.stage != protocol.Ended && !m.Gone {
-				on[t] = k.stage
+				n++
 			}
 		}
 	}
-	return on
+	return n
 }
 
 // hosts lists the machines on which a job has tasks, in order.
@@ -144,12 +143,12 @@
 		w.NoHire = true
 		w.At(seconds(3), func() { w.Submit(array("j-2", "l", "standard", 32, 1, 600)) })
 		w.Run(seconds(15))
-		before, starts := len(w.taskStages("j-2")), w.Starts
+		before, starts := w.taken("j-2"), w.Starts
 		d := daemon("j-1", 3)
 		d.Rank = c.rank
 		w.Submit(d)
 		w.Run(seconds(10))
-		after := len(w.taskStages("j-2"))
+		after := w.taken("j-2")
 		// One that is stopped without need would find its room again, and start anew.
 		if before != 32 || w.up("j-1") != c.up || before-after != c.up || w.Starts-starts != c.up || len(w.Rules.Broken) > 0 {
 			t.Errorf("%s: %d replicas are up, %d of %d other tasks left, %d starts, broken %v", c.rank, w.up("j-1"), after, before,
