--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -232,8 +232,8 @@
 	case coordination.SendRental:
 		d.tell(d.hire(v.Hire))
 	case coordination.SendRelease:
-		_, err := d.ask("POST", protocol.PathRelease, protocol.Stalls{Stalls: v.Stalls})
-		d.tell(coordination.ReleaseResult{Stalls: v.Stalls, Err: err})
+		_, err := d.ask("POST", protocol.PathRelease, protocol.Machines{Machines: v.Machines})
+		d.tell(coordination.ReleaseResult{Machines: v.Machines, Err: err})
 	case coordination.AskList:
 		asked := d.now().Steady
 		hosts, err := d.list()
@@ -272,7 +272,7 @@
 		r.Err = err
 		return r
 	}
-	var ans protocol.Stalls
+	var ans protocol.Machines
 	var no struct{ Error string }
 	switch a.Status {
 	case 200:
@@ -280,13 +280,13 @@
 			r.Err = err
 			return r
 		}
-		for _, id := range ans.Stalls {
+		for _, id := range ans.Machines {
 			if !id.Valid() {
 				r.Err = fmt.Errorf("cloud names a machine %q", id)
 				return r
 			}
 		}
-		r.Stalls = ans.Stalls
+		r.Machines = ans.Machines
 	case 400:
 		r.Invalid = true
 	case 503:
@@ -313,11 +313,11 @@
 		if err := json.Unmarshal(body, &page); err != nil {
 			return nil, err
 		}
-		all = append(all, page.Stalls...)
-		if !page.More || len(page.Stalls) == 0 || len(all) > 100_000 {
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 || len(all) > 100_000 {
 			return all, nil
 		}
-		from = page.Stalls[len(page.Stalls)-1].UID
+		from = page.Machines[len(page.Machines)-1].UID
 	}
 }
 
--- a/internal/bookkeeping/pages.go
+++ b/internal/bookkeeping/pages.go
@@ -13,12 +13,12 @@
 // PageID names a page: "stall-0#7-3".
 type PageID string
 
-// Epoch counts the owners of a page. It is the high part of the batons of all its
+// Epoch counts the owners of a page. It is the high part of the tokens of all its
 // machines, so that one change of the page fences off all earlier owners.
 type Epoch uint64
 
-// The low part of a baton is the machine's own: a worker reports at once when
-// its baton rises, so a machine that is to start something soon gets a higher one.
+// The low part of a token is the machine's own: a worker reports at once when
+// its token rises, so a machine that is to start something soon gets a higher one.
 const bumpBits = 20
 
 // MaxBump is the most that the low part holds.
@@ -29,12 +29,12 @@
 	return protocol.FencingToken(uint64(e)<<bumpBits | bump)
 }
 
-// EpochOf is the epoch that a baton belongs to.
+// EpochOf is the epoch that a token belongs to.
 func EpochOf(b protocol.FencingToken) Epoch { return Epoch(b >> bumpBits) }
 
 // Machines are kept on pages, many to a key: where a thousand of them stand
 // against 40 changes a second, a change for each would be the whole budget.
-// One run owns all machines of a page, under one baton, so that a takeover is
+// One run owns all machines of a page, under one token, so that a takeover is
 // one change however many machines there are.
 type pageForm struct {
 	Owner    Run      `json:"o"`
@@ -98,7 +98,7 @@
 	for _, f := range []struct {
 		on   bool
 		name string
-	}{{m.Loaner, "l"}, {m.Releasing, "r"}, {m.Drain, "x"}} {
+	}{{m.Spot, "l"}, {m.Releasing, "r"}, {m.Drain, "x"}} {
 		if f.on {
 			flags += f.name
 		}
@@ -108,7 +108,7 @@
 		shift += "+" + strconv.FormatUint(m.Bump, 10)
 	}
 	b.WriteString(string(id))
-	for _, s := range [...]string{url.QueryEscape(m.Addr), url.QueryEscape(string(m.Build)), url.QueryEscape(string(m.Yard)),
+	for _, s := range [...]string{url.QueryEscape(m.Addr), url.QueryEscape(string(m.Type)), url.QueryEscape(string(m.Zone)),
 		strconv.FormatInt(int64(m.Since), 36), shift, flags} {
 		b.WriteByte(' ')
 		if s == "" {
@@ -118,7 +118,7 @@
 	}
 	for i := range m.Assigned {
 		a := &m.Assigned[i]
-		fmt.Fprintf(&b, " %s.%d.%s", a.Job, a.Try, a.Pieces)
+		fmt.Fprintf(&b, " %s.%d.%s", a.Job, a.Try, a.Tasks)
 	}
 	return b.String()
 }
@@ -146,8 +146,8 @@
 	if err != nil || err1 != nil || err2 != nil || !id.Valid() {
 		return "", m, fmt.Errorf("malformed machine %q", line)
 	}
-	m = MachineRecord{Addr: text[0], Build: protocol.Sku(text[1]), Yard: protocol.Zone(text[2]), Since: protocol.Millis(since), Session: protocol.Session(shift), Bump: bump,
-		Loaner: strings.Contains(f[6], "l"), Releasing: strings.Contains(f[6], "r"), Drain: strings.Contains(f[6], "x")}
+	m = MachineRecord{Addr: text[0], Type: protocol.Sku(text[1]), Zone: protocol.Zone(text[2]), Since: protocol.Millis(since), Session: protocol.Session(shift), Bump: bump,
+		Spot: strings.Contains(f[6], "l"), Releasing: strings.Contains(f[6], "r"), Drain: strings.Contains(f[6], "x")}
 	for _, s := range f[7:] {
 		p := strings.Split(s, ".")
 		if len(p) != 3 {
@@ -155,7 +155,7 @@
 		}
 		try, err := strconv.ParseUint(p[1], 10, 64)
 		a := Assigned{Job: protocol.JobID(p[0]), Try: protocol.Attempt(try)}
-		if err != nil || !a.Job.Valid() || a.Pieces.UnmarshalText([]byte(p[2])) != nil || a.Pieces.IsZero() {
+		if err != nil || !a.Job.Valid() || a.Tasks.UnmarshalText([]byte(p[2])) != nil || a.Tasks.IsZero() {
 			return "", m, fmt.Errorf("malformed assignment %q", s)
 		}
 		m.Assigned = append(m.Assigned, a)
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -81,13 +81,13 @@
 
 // Assigned are tasks of one job with one attempt on a machine.
 type Assigned struct {
-	Job    protocol.JobID
-	Try    protocol.Attempt
-	Pieces Ranges
+	Job   protocol.JobID
+	Try   protocol.Attempt
+	Tasks Ranges
 }
 
 // MachineRecord is what is kept of a machine. It stands on a page with others;
-// owner and baton are the page's.
+// owner and token are the page's.
 type MachineRecord struct {
 	Page         PageID
 	Owner        Run
@@ -97,9 +97,9 @@
 	Session      protocol.Session      // 0: has not reported yet
 	Assigned     []Assigned
 	Addr         string
-	Build        protocol.Sku
-	Yard         protocol.Zone
-	Loaner       bool
+	Type         protocol.Sku
+	Zone         protocol.Zone
+	Spot         bool
 	Releasing    bool            // may be gone at any moment; takes no task
 	Drain        bool            // takes no new task
 	Since        protocol.Millis // when it was rented or first seen
@@ -115,7 +115,7 @@
 // Attempt gives the attempt with which a task is assigned, if it is.
 func (m *MachineRecord) Attempt(t protocol.Task) (protocol.Attempt, bool) {
 	for i := range m.Assigned {
-		if a := &m.Assigned[i]; a.Job == t.Job && a.Pieces.Has(t.Piece) {
+		if a := &m.Assigned[i]; a.Job == t.Job && a.Tasks.Has(t.Index) {
 			return a.Try, true
 		}
 	}
@@ -137,21 +137,21 @@
 func (m *MachineRecord) Assign(t protocol.Task, try protocol.Attempt) {
 	for i := range m.Assigned {
 		if a := &m.Assigned[i]; a.Job == t.Job && a.Try == try {
-			a.Pieces = a.Pieces.Add(t.Piece)
+			a.Tasks = a.Tasks.Add(t.Index)
 			return
 		}
 	}
-	m.Assigned = append(m.Assigned, Assigned{t.Job, try, Range(t.Piece, t.Piece)})
+	m.Assigned = append(m.Assigned, Assigned{t.Job, try, Range(t.Index, t.Index)})
 }
 
 // Unassign removes a task.
 func (m *MachineRecord) Unassign(t protocol.Task) {
 	for i := range m.Assigned {
 		a := &m.Assigned[i]
-		if a.Job != t.Job || !a.Pieces.Has(t.Piece) {
+		if a.Job != t.Job || !a.Tasks.Has(t.Index) {
 			continue
 		}
-		if a.Pieces = a.Pieces.Remove(t.Piece); a.Pieces.IsZero() {
+		if a.Tasks = a.Tasks.Remove(t.Index); a.Tasks.IsZero() {
 			m.Assigned = append(m.Assigned[:i], m.Assigned[i+1:]...)
 		}
 		return
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -125,14 +125,14 @@
 // canAdd tells whether one more machine can be put on record.
 func (b *batch) canAdd() bool { return b.hasRoom(2) }
 
-// add puts a machine that is not on record on a page of this run, with a baton
+// add puts a machine that is not on record on a page of this run, with a token
 // above the one that its worker has seen. The caller has asked canAdd.
 func (b *batch) add(id protocol.MachineID, r *bk.MachineRecord, above protocol.FencingToken) {
 	if !b.roll {
 		b.open(bk.RollKey, 100)
 		b.roll = true
 	}
-	size := b.c.lineSize(r.Build)
+	size := b.c.lineSize(r.Type)
 	page := bk.PageID("")
 	fits := func(p bk.PageID, d *draft) bool {
 		return d.owner == b.c.run && d.epoch > bk.EpochOf(above) && b.load(d)+size <= b.c.limits().ValueBytes
@@ -196,13 +196,13 @@
 func (b *batch) assign(id protocol.MachineID, job protocol.JobID, pieces []int, try protocol.Attempt) {
 	r := b.machine(id)
 	for _, p := range pieces {
-		r.Assign(protocol.Task{Job: job, Piece: p}, try)
+		r.Assign(protocol.Task{Job: job, Index: p}, try)
 	}
 	b.page(r.Page).size += b.c.written(24 + 3*len(pieces))
 	b.bytes += 24 + 3*len(pieces)
 }
 
-// nudge raises the machine's own part of its baton: its owner sends it to the
+// nudge raises the machine's own part of its token: its owner sends it to the
 // worker, and the worker reports at once, instead of some seconds later.
 func (b *batch) nudge(id protocol.MachineID) {
 	if r := b.machine(id); r.Bump < bk.MaxBump {
@@ -228,14 +228,14 @@
 func (b *batch) taskDone(id protocol.MachineID, t protocol.Task) {
 	d := b.page(b.viewMachine(id).Page)
 	if r, ok := d.done[t.Job]; ok {
-		d.done[t.Job] = r.Add(t.Piece)
+		d.done[t.Job] = r.Add(t.Index)
 	} else {
-		d.done[t.Job] = bk.Range(t.Piece, t.Piece)
+		d.done[t.Job] = bk.Range(t.Index, t.Index)
 		d.size += b.c.written(16)
 	}
 	d.size += b.c.written(4)
 	b.bytes += 4
-	b.done[t.Job] = b.done[t.Job].Add(t.Piece)
+	b.done[t.Job] = b.done[t.Job].Add(t.Index)
 }
 
 // viewDone is what is done of a job as the batch leaves it.
@@ -249,12 +249,12 @@
 
 // finish calls a job done once all its tasks are.
 func (b *batch) finish(id protocol.JobID) {
-	if r := b.viewJob(id); r.Stage.Final() || b.viewDone(id).Len() < r.Desc.Pieces || !b.hasRoom(b.needs("", id)) {
+	if r := b.viewJob(id); r.Stage.Final() || b.viewDone(id).Len() < r.Desc.Tasks || !b.hasRoom(b.needs("", id)) {
 		return
 	}
 	r := b.job(id)
-	b.log(slog.LevelInfo, "job done", "job", string(id), "lane", r.Desc.Lane, "after_s", float64(b.c.now.Wall-r.Sent)/1000)
-	*r = bk.JobRecord{Stage: protocol.Done, Count: r.Desc.Pieces, Sent: r.Sent}
+	b.log(slog.LevelInfo, "job done", "job", string(id), "lane", r.Desc.Class, "after_s", float64(b.c.now.Wall-r.Sent)/1000)
+	*r = bk.JobRecord{Stage: protocol.Done, Count: r.Desc.Tasks, Sent: r.Sent}
 	for _, d := range b.pages {
 		delete(d.done, id)
 	}
@@ -264,7 +264,7 @@
 // page fills up, or has no machines left.
 func (c *Core) settleDone(b *batch) {
 	for _, id := range sorted(c.replica.Open) {
-		if j, e := c.jstate(id), c.replica.Open[id]; c.replica.Done(id).Len() < e.Rec.Desc.Pieces {
+		if j, e := c.jstate(id), c.replica.Open[id]; c.replica.Done(id).Len() < e.Rec.Desc.Tasks {
 			j.completeAt = 0
 		} else if j.completeAt == 0 && e.Rec.Claim != c.run {
 			j.completeAt = c.now.Steady // its claimant writes it, if it lives
@@ -453,7 +453,7 @@
 	n := 0
 	for _, id := range ids {
 		if r := b.viewMachine(id); r != nil {
-			n += b.c.lineSize(r.Build)
+			n += b.c.lineSize(r.Type)
 		}
 	}
 	return n
@@ -475,7 +475,7 @@
 
 // joinPages puts what is left on a page that has lost most of its machines onto
 // another page of this run: each page costs a change of its own whenever something
-// begins or ends there. One at a time, and only to where batons do not fall.
+// begins or ends there. One at a time, and only to where tokens do not fall.
 func (c *Core) joinPages(b *batch) {
 	if c.now.Steady < c.joinAt || !b.hasRoom(2) {
 		return
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -34,7 +34,7 @@
 	c.flavors = v.Flavors
 	c.flavorAt = c.now.Steady.Add(c.jitter(c.cfg.SpotCheck))
 	for _, f := range v.Flavors {
-		for _, z := range f.Yards {
+		for _, z := range f.Zones {
 			k := priceKey{f.Sku, z}
 			t := c.spot[k]
 			if t == nil {
@@ -95,7 +95,7 @@
 
 func (c *Core) onRelease(v ReleaseResult) {
 	c.releaseOut = false
-	for _, id := range v.Stalls {
+	for _, id := range v.Machines {
 		r := c.releasing[id]
 		if r == nil {
 			continue
@@ -108,7 +108,7 @@
 		r.done = true
 	}
 	if v.Err != nil {
-		c.log(slog.LevelWarn, "release failed", "machines", len(v.Stalls), "err", v.Err.Error())
+		c.log(slog.LevelWarn, "release failed", "machines", len(v.Machines), "err", v.Err.Error())
 	}
 }
 
@@ -134,7 +134,7 @@
 
 func (c *Core) reasonToLeave(e *bk.Machine, m *mstate, cutOff bool) string {
 	rec := &e.Rec
-	fl := c.flavor(rec.Build)
+	fl := c.flavor(rec.Type)
 	age := millis(c.now.Wall - rec.Since)
 	if rec.Session == 0 {
 		if fl == nil {
@@ -212,8 +212,8 @@
 }
 
 func (c *Core) liveTasks(m *mstate) bool {
-	for i := range m.rep.Pieces {
-		if m.rep.Pieces[i].Stage != protocol.Ended {
+	for i := range m.rep.Tasks {
+		if m.rep.Tasks[i].Stage != protocol.Ended {
 			return true
 		}
 	}
@@ -262,14 +262,14 @@
 	unknown := pick(c.listed, func(l *listing) bool { return c.replica.Machines[l.host.UID] == nil })
 	for _, id := range unknown {
 		l := c.listed[id]
-		if l.missing > 0 || l.host.AgeS < 20 || l.host.Build == "" || !b.canAdd() || b.machines[id] != nil {
+		if l.missing > 0 || l.host.AgeS < 20 || l.host.Type == "" || !b.canAdd() || b.machines[id] != nil {
 			continue
 		}
 		if _, ok := c.released[id]; ok || !c.heir(string(id)) || c.rentals.granted(id) {
 			continue
 		}
-		b.add(id, &bk.MachineRecord{Addr: l.host.Addr, Build: l.host.Build, Yard: l.host.Yard,
-			Loaner: l.host.Loaners, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}, 0)
+		b.add(id, &bk.MachineRecord{Addr: l.host.Addr, Type: l.host.Type, Zone: l.host.Zone,
+			Spot: l.host.Spot, Since: c.now.Wall - protocol.Millis(l.host.AgeS*1000)}, 0)
 		b.log(slog.LevelInfo, "unexpected machine adopted from the list", "machine", string(id))
 	}
 }
--- a/internal/coordination/contention.go
+++ b/internal/coordination/contention.go
@@ -65,7 +65,7 @@
 // available tells whether the cloud may have a machine of a type in a zone that the
 // job allows.
 func (c *Core) available(f *protocol.Flavor, d *protocol.Job, spot bool) bool {
-	return slices.ContainsFunc(f.Yards, func(z protocol.Zone) bool {
+	return slices.ContainsFunc(f.Zones, func(z protocol.Zone) bool {
 		return d.Allowed(f.Sku, z) && !c.exhausted(poolKey{f.Sku, z, spot})
 	})
 }
--- a/internal/coordination/forecast.go
+++ b/internal/coordination/forecast.go
@@ -26,7 +26,7 @@
 	if j := c.jobs[id]; j != nil && j.runs >= slowSamples {
 		return j.runTime / time.Duration(j.runs)
 	}
-	return protocol.Seconds(d.ReckonS)
+	return protocol.Seconds(d.EstimateS)
 }
 
 // endsAt estimates when what a job has on a machine will have ended.
@@ -70,7 +70,7 @@
 // tells for how many that is.
 func (c *Core) tasksToFollow(q *queued, rooms []*room, n int) int {
 	d := q.rec.Desc
-	if d.Yard != "" || d.Together || d.Scatter {
+	if d.Zone != "" || d.OneZone || d.Spread {
 		return 0 // where they may be depends on more than room
 	}
 	by := c.now.Steady.Add(c.patience(q))
@@ -79,7 +79,7 @@
 		if found >= n {
 			break
 		}
-		if r.coming || r.closed || q.leaves[r.rec.Build] || machineFits(r.fl, d) == 0 || !c.mayUse(d, r) {
+		if r.coming || r.closed || q.leaves[r.rec.Type] || machineFits(r.fl, d) == 0 || !c.mayUse(d, r) {
 			continue
 		}
 		if k := min(c.fitsBy(r, d, by), n-found); k > 0 {
--- a/internal/coordination/gangs.go
+++ b/internal/coordination/gangs.go
@@ -13,7 +13,7 @@
 // placeGang places all tasks of a gang that are not done, or none.
 func (c *Core) placeGang(b *batch, q *queued, rooms []*room) {
 	d := q.rec.Desc
-	left := d.Pieces - q.done
+	left := d.Tasks - q.done
 	if q.placed > 0 {
 		for _, r := range rooms {
 			for _, h := range r.used {
@@ -29,7 +29,7 @@
 		return
 	}
 	zones := []protocol.Zone{""}
-	if d.Together {
+	if d.OneZone {
 		zones = c.zones()
 	}
 	var best []share
@@ -101,7 +101,7 @@
 
 // finishGang writes what is missing of a gang that did not fit one transaction.
 func (c *Core) finishGang(b *batch, q *queued, rooms []*room) {
-	left := q.rec.Desc.Pieces - q.done - q.placed
+	left := q.rec.Desc.Tasks - q.done - q.placed
 	j := c.jstate(q.id)
 	if left <= 0 {
 		j.building = 0
@@ -156,7 +156,7 @@
 	seen := map[protocol.Zone]bool{}
 	var out []protocol.Zone
 	for i := range c.flavors {
-		for _, z := range c.flavors[i].Yards {
+		for _, z := range c.flavors[i].Zones {
 			if !seen[z] {
 				seen[z] = true
 				out = append(out, z)
@@ -181,18 +181,18 @@
 		if n == 0 {
 			break
 		}
-		if z != "" && r.rec.Yard != z || r.closed || !c.mayUse(d, r) {
+		if z != "" && r.rec.Zone != z || r.closed || !c.mayUse(d, r) {
 			continue
 		}
 		k := r.fits(d)
 		if freed != nil {
 			k = freed(r)
 		}
-		k = min(k, n, q.zoneRoom(r.rec.Yard)-zones[r.rec.Yard])
+		k = min(k, n, q.zoneRoom(r.rec.Zone)-zones[r.rec.Zone])
 		if k <= 0 {
 			continue
 		}
-		zones[r.rec.Yard] += k
+		zones[r.rec.Zone] += k
 		out = append(out, share{r, k})
 		n -= k
 	}
@@ -207,7 +207,7 @@
 func (c *Core) slow(list []share, d *protocol.Job, images bool) bool {
 	const roomMade = 6 // seconds that it takes to stop what runs, and to write it
 	return slices.ContainsFunc(list, func(s share) bool {
-		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.PullGB/s.r.fl.FetchGBPerS > roomMade && !s.r.m.hasImage(d.Bundle)
+		return s.r.coming || images && s.r.fl.FetchGBPerS > 0 && d.ImageGB/s.r.fl.FetchGBPerS > roomMade && !s.r.m.hasImage(d.Image)
 	})
 }
 
@@ -220,7 +220,7 @@
 	got := c.roomKept(q, rooms, n)
 	if got == nil && q.aged {
 		if c.reserve(b, q, rooms, zones, n) && ours {
-			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Yard, order: q.order, sent: q.rec.Sent, urgent: true})
+			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Zone, order: q.order, sent: q.rec.Sent, urgent: true})
 		}
 		if c.planned.reserved[q.order] {
 			return
@@ -234,7 +234,7 @@
 			got = nil
 		}
 		if got == nil {
-			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Yard, order: q.order, sent: q.rec.Sent, urgent: true})
+			c.demand = append(c.demand, unmetDemand{job: q.id, desc: d, tasks: n, zone: d.Zone, order: q.order, sent: q.rec.Sent, urgent: true})
 		} else if b.hasRoom(b.needs("", q.id)) {
 			b.writeRoom(q.id, got, "room is made for a gang")
 		}
@@ -320,7 +320,7 @@
 	if h.desc.Daemon() {
 		return noEnd.Seconds()
 	}
-	return max(h.desc.ReckonS-c.running(r, h), 5)
+	return max(h.desc.EstimateS-c.running(r, h), 5)
 }
 
 // running is for how many seconds tasks have been assigned, as far as it is known.
@@ -376,7 +376,7 @@
 	cost := map[*room]float64{}
 	var list []*room
 	for _, r := range rooms {
-		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) && (!warm || r.m.hasImage(q.rec.Desc.Bundle)) {
+		if !r.closed && !r.coming && r.fl.Fits(q.rec.Desc) && (!warm || r.m.hasImage(q.rec.Desc.Image)) {
 			list = append(list, r)
 		}
 	}
@@ -404,11 +404,11 @@
 		need.take(h.desc, -h.n)
 		cost += c.lost(r, h)
 		if h.desc.Saves() {
-			wait = max(wait, h.desc.StowS)
+			wait = max(wait, h.desc.SaveS)
 		}
 	}
-	if !r.m.hasImage(d.Bundle) && r.fl.FetchGBPerS > 0 {
-		wait += d.PullGB / r.fl.FetchGBPerS
+	if !r.m.hasImage(d.Image) && r.fl.FetchGBPerS > 0 {
+		wait += d.ImageGB / r.fl.FetchGBPerS
 	}
 	return cost + wait*d.Cores
 }
@@ -416,7 +416,7 @@
 // lost is the work, in core-seconds, that stopping the tasks would throw away.
 func (c *Core) lost(r *room, h held) float64 {
 	if h.desc.Saves() {
-		return float64(h.n) * h.desc.Cores * h.desc.StowS
+		return float64(h.n) * h.desc.Cores * h.desc.SaveS
 	}
 	if h.desc.Daemon() {
 		return float64(h.n) * h.desc.Cores * replicaRun
@@ -454,27 +454,27 @@
 	if m == nil {
 		return
 	}
-	if h.desc.Gang() && h.desc.Pieces > 1 && h.desc.Saves() {
+	if h.desc.Gang() && h.desc.Tasks > 1 && h.desc.Saves() {
 		c.halts[h.job] = h.try // all its tasks must hear of it, not only those here
 		return
 	}
 	grace := 0.0
 	if h.desc.Saves() {
-		grace = h.desc.StowS + 0.5
+		grace = h.desc.SaveS + 0.5
 	}
 	for i := range r.rec.Assigned {
 		a := &r.rec.Assigned[i]
 		if a.Job != h.job || a.Try != h.try {
 			continue
 		}
-		a.Pieces.Each(func(n int) bool {
-			if s, ok := m.stops[protocol.Task{Job: a.Job, Piece: n}]; ok && s.try == a.Try {
+		a.Tasks.Each(func(n int) bool {
+			if s, ok := m.stops[protocol.Task{Job: a.Job, Index: n}]; ok && s.try == a.Try {
 				most--
 			}
 			return true
 		})
-		a.Pieces.Each(func(n int) bool {
-			t := protocol.Task{Job: a.Job, Piece: n}
+		a.Tasks.Each(func(n int) bool {
+			t := protocol.Task{Job: a.Job, Index: n}
 			if s, ok := m.stops[t]; most > 0 && (!ok || s.try != a.Try) {
 				c.stop(m, t, a.Try, grace, "makes room for "+string(for_.id))
 				most--
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -76,15 +76,15 @@
 	// RentalResult answers a rental. NoCapacity: the cloud has none.
 	RentalResult struct {
 		Hire       protocol.Hire
-		Stalls     []protocol.MachineID
+		Machines   []protocol.MachineID
 		NoCapacity bool
 		Invalid    bool
 		Err        error
 	}
 	// ReleaseResult answers a release.
 	ReleaseResult struct {
-		Stalls []protocol.MachineID
-		Err    error
+		Machines []protocol.MachineID
+		Err      error
 	}
 	// ListResult is the cloud's list.
 	ListResult struct {
@@ -157,7 +157,7 @@
 	// SendRental rents machines.
 	SendRental struct{ Hire protocol.Hire }
 	// SendRelease gives machines back.
-	SendRelease struct{ Stalls []protocol.MachineID }
+	SendRelease struct{ Machines []protocol.MachineID }
 	// AskList reads the machine list.
 	AskList struct{}
 	// SendDo commands a worker directly.
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -14,12 +14,12 @@
 
 	rep         *protocol.Report // newest report
 	byTask      map[protocol.Task]*protocol.TaskReport
-	confirmed   protocol.FencingToken // highest baton that the worker has shown
+	confirmed   protocol.FencingToken // highest token that the worker has shown
 	confirmedAt protocol.Instant      // when it first did
 	lastSession protocol.Session      // order of the reports
 	lastTally   protocol.Tally        //
 	answered    protocol.Instant      // receipt of the last report that was answered with 200
-	baton       protocol.FencingToken // under which it was
+	token       protocol.FencingToken // under which it was
 	heardAt     protocol.Instant      // any sign of life, or the begin of this ownership
 	reportedAt  protocol.Instant      // last report that came by itself, or the begin of this ownership
 
@@ -30,7 +30,7 @@
 
 	// Whether what is sent to the worker arrives. Its reports may come in all
 	// the while: they say nothing of the way back.
-	owed      bool // the last answer had a start, or a baton, that the worker must show
+	owed      bool // the last answer had a start, or a token, that the worker must show
 	owedShift protocol.Session
 	doubtAt   protocol.Instant // since when it is not sure that it hears; 0: it does
 	failAt    protocol.Instant // when the first of the direct commands failed that have failed in a row
@@ -169,14 +169,14 @@
 func (c *Core) mine(r *bk.MachineRecord) bool { return c.run != "" && r.Owner == c.run }
 
 // own begins or goes on with the ownership of a machine: what an earlier
-// owner was told proves nothing under a new baton.
+// owner was told proves nothing under a new token.
 func (c *Core) own(e *bk.Machine, id protocol.MachineID) *mstate {
 	m := c.mstate(id)
 	if m.ownedRun != e.Rec.Owner || m.ownedIn != e.Rec.Epoch {
 		m.ownedRun, m.ownedIn = e.Rec.Owner, e.Rec.Epoch
 		m.ownedRev = protocol.Rev(c.replica.Pages[e.Rec.Page].Stamp)
 		m.clear()
-		m.answered, m.baton = 0, 0
+		m.answered, m.token = 0, 0
 		m.heardAt, m.reportedAt = c.now.Steady, c.now.Steady
 		m.idleSince = 0
 		m.handTo = ""
@@ -185,7 +185,7 @@
 	return m
 }
 
-// proven is the newest report if it was sent under the current baton and in
+// proven is the newest report if it was sent under the current token and in
 // the recorded session: only then does what it lacks prove anything.
 func (m *mstate) proven(r *bk.MachineRecord) *protocol.Report {
 	if m.rep == nil || bk.EpochOf(m.rep.FencingToken) != r.Epoch || m.rep.Session != r.Session {
@@ -201,9 +201,9 @@
 		m.confirmedAt = now
 	}
 	m.confirmed = max(m.confirmed, r.FencingToken)
-	m.byTask = make(map[protocol.Task]*protocol.TaskReport, len(r.Pieces))
-	for i := range r.Pieces {
-		p := &r.Pieces[i]
+	m.byTask = make(map[protocol.Task]*protocol.TaskReport, len(r.Tasks))
+	for i := range r.Tasks {
+		p := &r.Tasks[i]
 		m.byTask[p.Task] = p
 		if p.Stage != protocol.Ended && m.firstSeen[p.Task] == 0 {
 			m.firstSeen[p.Task] = now
@@ -277,7 +277,7 @@
 			continue
 		}
 		c.assignedAt[k] = c.now.Steady
-		if j, fl := c.replica.Jobs[a.Job], c.flavor(after.Build); j != nil && j.Rec.Desc != nil && fl != nil {
+		if j, fl := c.replica.Jobs[a.Job], c.flavor(after.Type); j != nil && j.Rec.Desc != nil && fl != nil {
 			c.noteImage(id, fl, j.Rec.Desc)
 		}
 	}
--- a/internal/coordination/order.go
+++ b/internal/coordination/order.go
@@ -32,7 +32,7 @@
 // order ranks jobs: a smaller one goes first and may take the place of a
 // larger one. A team within its guarantee goes before all others.
 func (c *Core) order(j *protocol.Job) int {
-	if c.guaranteed(j.Desk) {
+	if c.guaranteed(j.Team) {
 		return -1
 	}
 	return j.Rank.Order()
@@ -46,8 +46,8 @@
 	}
 	cores, accels := 0.0, 0.0
 	for id, e := range c.replica.Open {
-		if d := e.Rec.Desc; d.Desk == desk {
-			left := float64(d.Pieces - c.replica.Done(id).Len())
+		if d := e.Rec.Desc; d.Team == desk {
+			left := float64(d.Tasks - c.replica.Done(id).Len())
 			cores += left * d.Cores
 			accels += left * d.Accelerators
 		}
@@ -75,7 +75,7 @@
 		for _, h := range r.used {
 			if q := byJob[h.job]; q != nil {
 				q.placed += h.n
-				q.zones[r.rec.Yard] += h.n
+				q.zones[r.rec.Zone] += h.n
 			}
 		}
 	}
@@ -118,7 +118,7 @@
 		q.due, q.startBy, q.beginBy = sent, c.now.Wall, sent
 		return
 	}
-	aims := c.cfg.Aims[d.Lane]
+	aims := c.cfg.Aims[d.Class]
 	q.due, q.late = sent+protocol.Millis(600_000), true
 	q.startBy, q.beginBy = q.due, q.due
 	reach := func(within, lead time.Duration) {
@@ -132,7 +132,7 @@
 			q.due, q.late = due, false
 		}
 	}
-	run := protocol.Seconds(d.ReckonS / 2) // estimates are often wrong by half
+	run := protocol.Seconds(d.EstimateS / 2) // estimates are often wrong by half
 	for _, w := range aims.Wait {
 		reach(w, 0)
 		if left := sent + protocol.Millis(w.Milliseconds()) - c.now.Wall; q.turn > 1 && left > 0 && 3*left < protocol.Millis(w.Milliseconds()) {
@@ -142,13 +142,13 @@
 	for _, w := range aims.Finished {
 		reach(w, run)
 	}
-	if d.DueS != nil {
-		reach(protocol.Seconds(*d.DueS), run)
+	if d.DeadlineS != nil {
+		reach(protocol.Seconds(*d.DeadlineS), run)
 		for _, n := range aims.Times {
-			reach(protocol.Seconds(*d.DueS*n), run)
+			reach(protocol.Seconds(*d.DeadlineS*n), run)
 		}
 	}
-	if len(aims.Wait)+len(aims.Finished) == 0 && d.DueS == nil {
+	if len(aims.Wait)+len(aims.Finished) == 0 && d.DeadlineS == nil {
 		q.late = false
 	}
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -37,35 +37,35 @@
 // zoneRoom tells how many more tasks of the job may be in the zone.
 func (q *queued) zoneRoom(z protocol.Zone) int {
 	d := q.rec.Desc
-	if d.Together {
+	if d.OneZone {
 		for o, n := range q.zones {
 			if o != z && n > 0 {
 				return 0
 			}
 		}
 	}
-	if d.Scatter {
-		return max((d.Pieces+1)/2-q.zones[z], 0)
+	if d.Spread {
+		return max((d.Tasks+1)/2-q.zones[z], 0)
 	}
-	return protocol.MaxPieces
+	return protocol.MaxTasks
 }
 
 // teamRoom tells how many more tasks of the job its team's limit allows.
 func (c *Core) teamRoom(rooms []*room, j *protocol.Job) int {
-	t := c.cfg.Teams[j.Desk]
+	t := c.cfg.Teams[j.Team]
 	if !t.limited() {
-		return protocol.MaxPieces
+		return protocol.MaxTasks
 	}
 	cores, accels := 0.0, 0.0
 	for _, r := range rooms {
 		for _, h := range r.used {
-			if h.desc.Desk == j.Desk {
+			if h.desc.Team == j.Team {
 				cores += float64(h.n) * h.desc.Cores
 				accels += float64(h.n) * h.desc.Accelerators
 			}
 		}
 	}
-	n := protocol.MaxPieces
+	n := protocol.MaxTasks
 	if t.CoresMax > 0 && j.Cores > 0 {
 		n = min(n, int(math.Floor((t.CoresMax-cores)/j.Cores+eps)))
 	}
@@ -119,12 +119,12 @@
 		} else if q.rec.Desc.Daemon() {
 			c.placeReplicas(b, q, rooms)
 		} else if len(group) > 1 && c.partial {
-			c.placeArray(b, q, rooms, protocol.MaxPieces, true)
+			c.placeArray(b, q, rooms, protocol.MaxTasks, true)
 		}
 	}
 	for _, q := range group {
 		if q.rec.Desc.Shape == protocol.Batch {
-			c.placeArray(b, q, rooms, protocol.MaxPieces, false)
+			c.placeArray(b, q, rooms, protocol.MaxTasks, false)
 		}
 	}
 }
@@ -209,13 +209,13 @@
 	m := r.m
 	if j.Daemon() {
 		s += c.fetchTime(r, j).Seconds()
-	} else if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Bundle) {
-		s += min(j.PullGB/r.fl.FetchGBPerS, 60)
+	} else if r.fl.FetchGBPerS > 0 && !m.hasImage(j.Image) {
+		s += min(j.ImageGB/r.fl.FetchGBPerS, 60)
 	}
 	switch {
-	case r.rec.Loaner && j.Daemon():
+	case r.rec.Spot && j.Daemon():
 		s += spotReplica
-	case r.rec.Loaner:
+	case r.rec.Spot:
 		s -= 5
 	}
 	if m != nil && m.pace.slow() {
@@ -253,7 +253,7 @@
 			continue // full by now, for all that come later
 		}
 		left = append(left, r)
-		if !q.leaves[r.rec.Build] && (!home || r.rec.Owner == q.rec.Claim) && r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
+		if !q.leaves[r.rec.Type] && (!home || r.rec.Owner == q.rec.Claim) && r.fits(q.rec.Desc) > 0 && c.mayUse(q.rec.Desc, r) {
 			out = append(out, scored{r, c.score(b, q, r)})
 		}
 	}
@@ -272,7 +272,7 @@
 func (q *queued) put(r *room, n int, try protocol.Attempt) {
 	r.take(q.rec.Desc, n)
 	r.used = append(r.used, held{q.id, try, n, q.rec.Desc, q.order})
-	q.zones[r.rec.Yard] += n
+	q.zones[r.rec.Zone] += n
 	q.placed += n
 }
 
@@ -281,7 +281,7 @@
 	have := b.viewDone(q.id)
 	add := func(rec *bk.MachineRecord) {
 		for a := range rec.Of(q.id) {
-			have = have.Union(a.Pieces)
+			have = have.Union(a.Tasks)
 		}
 	}
 	for id := range c.replica.On(q.id) {
@@ -294,7 +294,7 @@
 			add(b.machines[id])
 		}
 	}
-	return have.Gaps(q.rec.Desc.Pieces, max)
+	return have.Gaps(q.rec.Desc.Tasks, max)
 }
 
 // spans tells how many tasks of a job may be under way so that what is done of
@@ -326,13 +326,13 @@
 // Else what is left behind it is unmet demand.
 func (c *Core) placeArray(b *batch, q *queued, rooms []*room, most int, home bool) {
 	d := q.rec.Desc
-	left := d.Pieces - q.done - q.placed
+	left := d.Tasks - q.done - q.placed
 	if left <= 0 {
 		return
 	}
 	// The written form of what is done must stay within a value: gaps in it
 	// are bounded by the tasks under way.
-	limit := min(left, most, c.teamRoom(rooms, d), max(c.spans(d.Pieces)-q.placed, 0))
+	limit := min(left, most, c.teamRoom(rooms, d), max(c.spans(d.Tasks)-q.placed, 0))
 	ours := c.ours(b, q)
 	j := c.jstate(q.id)
 	if ours && c.now.Steady < j.notBefore {
@@ -350,7 +350,7 @@
 		if limit <= 0 {
 			break
 		}
-		n := min(r.fits(d), limit, q.zoneRoom(r.rec.Yard))
+		n := min(r.fits(d), limit, q.zoneRoom(r.rec.Zone))
 		if n <= 0 {
 			continue
 		}
@@ -373,7 +373,7 @@
 		// Its tasks fit into no gap that others leave: some machines are emptied.
 		c.reserve(b, q, rooms, []protocol.Zone{""}, min(limit, 4))
 	}
-	if n := min(left, limit); n > 0 && most == protocol.MaxPieces {
+	if n := min(left, limit); n > 0 && most == protocol.MaxTasks {
 		c.unplaced(q, rooms, n)
 	}
 }
@@ -426,7 +426,7 @@
 
 // onlyZone is the zone that the job is bound to by its other tasks.
 func (q *queued) onlyZone() protocol.Zone {
-	if q.rec.Desc.Together {
+	if q.rec.Desc.OneZone {
 		for z, n := range q.zones {
 			if n > 0 {
 				return z
@@ -439,9 +439,9 @@
 // writable tells whether a placement on the machine fits the transaction.
 func (c *Core) writable(b *batch, r *room, d *protocol.Job) bool {
 	n := b.needs(r.id)
-	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
+	if c.cfg.Teams[d.Team].limited() && !b.teams[d.Team] {
 		n++
-		if c.replica.Rev < protocol.Rev(c.replica.Teams[d.Desk]) {
+		if c.replica.Rev < protocol.Rev(c.replica.Teams[d.Team]) {
 			return false
 		}
 	}
@@ -453,17 +453,17 @@
 func (c *Core) placed(b *batch, q *queued, r *room, n int, try protocol.Attempt) {
 	d := q.rec.Desc
 	b.on(bk.JobKey(q.id))
-	if c.cfg.Teams[d.Desk].limited() && !b.teams[d.Desk] {
-		b.open(bk.TeamKey(d.Desk), 100)
-		b.teams[d.Desk] = true
+	if c.cfg.Teams[d.Team].limited() && !b.teams[d.Team] {
+		b.open(bk.TeamKey(d.Team), 100)
+		b.teams[d.Team] = true
 	}
 	j := c.jstate(q.id)
 	b.marks = append(b.marks, func() {
 		j.next = max(j.next, try+1)
 		// A job whose tasks come back again and again is tried ever less often:
 		// it may fail everywhere until its user cancels it.
-		if j.given += n; !d.Daemon() && j.given >= 4*d.Pieces {
-			j.notBefore = c.now.Steady.Add(min(time.Duration(j.given/d.Pieces-3)*5*time.Second, 30*time.Second))
+		if j.given += n; !d.Daemon() && j.given >= 4*d.Tasks {
+			j.notBefore = c.now.Steady.Add(min(time.Duration(j.given/d.Tasks-3)*5*time.Second, 30*time.Second))
 		}
 	})
 	b.log(slog.LevelDebug, "tasks placed", "job", string(q.id), "tasks", n, "attempt", uint64(try), "machine", string(r.id))
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -36,9 +36,9 @@
 			if !m.shown {
 				continue
 			}
-			b.add(id, &bk.MachineRecord{Session: m.rep.Session, Addr: m.rep.Addr, Build: m.rep.Build, Yard: m.rep.Yard,
-				Loaner: m.rep.Loaners, Since: c.now.Wall}, m.rep.FencingToken)
-			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Build), "zone", string(m.rep.Yard))
+			b.add(id, &bk.MachineRecord{Session: m.rep.Session, Addr: m.rep.Addr, Type: m.rep.Type, Zone: m.rep.Zone,
+				Spot: m.rep.Spot, Since: c.now.Wall}, m.rep.FencingToken)
+			b.log(slog.LevelInfo, "machine adopted", "machine", string(id), "type", string(m.rep.Type), "zone", string(m.rep.Zone))
 		} else if at, dead := c.deadAt[e.Rec.Owner]; dead && b.hasRoom(c.pageOps(e.Rec.Page)) && (c.since(at) > time.Second && c.heir(bk.PageKey(e.Rec.Page)) || c.since(at) > 4*time.Second) {
 			// Not whoever hears of it first: when all come back, the first one
 			// would have the whole fleet.
@@ -221,15 +221,15 @@
 }
 
 // surelyExpired tells whether the worker's lease must have run out: this
-// baton was confirmed by the worker, so only this run's answers counted, and
+// token was confirmed by the worker, so only this run's answers counted, and
 // the last of them answered a report sent no later than it was received.
 func (c *Core) surelyExpired(m *mstate, r *bk.MachineRecord) bool {
 	if bk.EpochOf(m.confirmed) != r.Epoch || m.rep == nil {
 		return false
 	}
-	// Before it showed this baton, an earlier owner may have renewed its lease.
+	// Before it showed this token, an earlier owner may have renewed its lease.
 	last := m.confirmedAt
-	if bk.EpochOf(m.baton) == r.Epoch {
+	if bk.EpochOf(m.token) == r.Epoch {
 		last = max(last, m.answered)
 	}
 	// Steady clocks drift by up to 0.05% each; the rest is margin.
@@ -262,7 +262,7 @@
 			c.takeBackAll(b, m, r, "newer session")
 			r.Session, r.Addr = rep.Session, rep.Addr
 			if rec.Session == 0 {
-				r.Build, r.Yard, r.Loaner = rep.Build, rep.Yard, rep.Loaners
+				r.Type, r.Zone, r.Spot = rep.Type, rep.Zone, rep.Spot
 			}
 		}
 		return
@@ -277,8 +277,8 @@
 	if proven := m.proven(rec); proven != nil {
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
-			a.Pieces.Each(func(n int) bool {
-				return c.reconcileTask(b, m, rec, protocol.Task{Job: a.Job, Piece: n}, a.Try)
+			a.Tasks.Each(func(n int) bool {
+				return c.reconcileTask(b, m, rec, protocol.Task{Job: a.Job, Index: n}, a.Try)
 			})
 		}
 	}
@@ -291,13 +291,13 @@
 
 func (c *Core) takeBackAll(b *batch, m *mstate, r *bk.MachineRecord, why string) {
 	for _, a := range r.Assigned {
-		a.Pieces.Each(func(n int) bool {
-			t := protocol.Task{Job: a.Job, Piece: n}
+		a.Tasks.Each(func(n int) bool {
+			t := protocol.Task{Job: a.Job, Index: n}
 			m.barred[t] = a.Try
 			b.marks = append(b.marks, func() { delete(m.stops, t) })
 			return true
 		})
-		b.log(slog.LevelInfo, "tasks requeued", "machine", string(m.id), "job", string(a.Job), "tasks", a.Pieces.String(), "why", why)
+		b.log(slog.LevelInfo, "tasks requeued", "machine", string(m.id), "job", string(a.Job), "tasks", a.Tasks.String(), "why", why)
 	}
 	r.Assigned = nil
 }
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -14,9 +14,9 @@
 // poolKey names the machines of one type, zone and kind: the cloud runs out of each
 // of these pools alone.
 type poolKey struct {
-	sku    protocol.Sku
-	yard   protocol.Zone
-	loaner bool
+	sku  protocol.Sku
+	zone protocol.Zone
+	spot bool
 }
 
 // rental is a rental request that is not over yet.
@@ -59,7 +59,7 @@
 }
 
 func (r *rental) pool() poolKey {
-	return poolKey{r.request.Build, r.request.Yard, r.request.Loaners}
+	return poolKey{r.request.Type, r.request.Zone, r.request.Spot}
 }
 
 // unmetDemand is work that no machine, up or coming, can take.
@@ -118,7 +118,7 @@
 func (c *Core) spotMachines() int {
 	n := 0
 	for _, e := range c.replica.Machines {
-		if e.Rec.Loaner {
+		if e.Rec.Spot {
 			n++
 		}
 	}
@@ -143,7 +143,7 @@
 			continue
 		}
 		n := min((left+p.per-1)/p.per, c.cfg.RentalCap, protocol.MaxHire)
-		if p.key.loaner {
+		if p.key.spot {
 			n = min(n, c.cfg.SpotCap-spots)
 		}
 		if n <= 0 {
@@ -158,10 +158,10 @@
 func (c *Core) sendRental(p poolKey, machines int, job protocol.JobID) {
 	c.rentals.sequence++
 	name := fmt.Sprintf("%s-%d", c.run, c.rentals.sequence)
-	request := protocol.Hire{Hire: name, Build: p.sku, Yard: p.yard, Loaners: p.loaner, Count: machines}
+	request := protocol.Hire{Hire: name, Type: p.sku, Zone: p.zone, Spot: p.spot, Count: machines}
 	c.rentals.requests[name] = &rental{request: request, at: c.now.Steady, inFlight: true}
-	c.log(slog.LevelInfo, "machines are rented", "hire", name, "type", string(p.sku), "zone", string(p.yard),
-		"spot", p.loaner, "count", machines, "for", string(job))
+	c.log(slog.LevelInfo, "machines are rented", "hire", name, "type", string(p.sku), "zone", string(p.zone),
+		"spot", p.spot, "count", machines, "for", string(job))
 	c.emit(SendRental{request})
 }
 
@@ -187,7 +187,7 @@
 		if per == 0 {
 			continue
 		}
-		for _, z := range f.Yards {
+		for _, z := range f.Zones {
 			if !d.desc.Allowed(f.Sku, z) || d.zone != "" && z != d.zone {
 				continue
 			}
@@ -205,7 +205,7 @@
 	return out
 }
 
-func (c *Core) zonePreference(p pool) uint64 { return weight(string(c.cfg.Member), string(p.key.yard)) }
+func (c *Core) zonePreference(p pool) uint64 { return weight(string(c.cfg.Member), string(p.key.zone)) }
 
 // machineFits tells how many tasks of a job an empty machine of a type takes.
 func machineFits(f *protocol.Flavor, j *protocol.Job) int {
@@ -224,7 +224,7 @@
 	case v.NoCapacity:
 		c.rentals.refused[p] = c.now.Steady
 		delete(c.rentals.requests, v.Hire.Hire)
-		c.log(slog.LevelInfo, "cloud has no capacity", "type", string(p.sku), "zone", string(p.yard), "spot", p.loaner)
+		c.log(slog.LevelInfo, "cloud has no capacity", "type", string(p.sku), "zone", string(p.zone), "spot", p.spot)
 	case v.Invalid:
 		c.rentals.refused[p] = c.now.Steady
 		delete(c.rentals.requests, v.Hire.Hire)
@@ -234,14 +234,14 @@
 		r.retryAt = c.now.Steady.Add(c.jitter(time.Second))
 		c.log(slog.LevelWarn, "rental without answer is repeated", "hire", v.Hire.Hire, "err", v.Err.Error())
 	default:
-		if len(v.Stalls) < v.Hire.Count {
+		if len(v.Machines) < v.Hire.Count {
 			c.rentals.refused[p] = c.now.Steady
 		}
-		r.machines = v.Stalls
-		if len(v.Stalls) == 0 {
+		r.machines = v.Machines
+		if len(v.Machines) == 0 {
 			delete(c.rentals.requests, v.Hire.Hire)
 		}
-		c.log(slog.LevelInfo, "machines come", "hire", v.Hire.Hire, "machines", len(v.Stalls), "asked", v.Hire.Count)
+		c.log(slog.LevelInfo, "machines come", "hire", v.Hire.Hire, "machines", len(v.Machines), "asked", v.Hire.Count)
 	}
 }
 
@@ -259,7 +259,7 @@
 			}
 			missing++
 			if b.machines[id] == nil && b.canAdd() {
-				b.add(id, &bk.MachineRecord{Build: r.request.Build, Yard: r.request.Yard, Loaner: r.request.Loaners,
+				b.add(id, &bk.MachineRecord{Type: r.request.Type, Zone: r.request.Zone, Spot: r.request.Spot,
 					Since: c.now.Wall - protocol.Millis(c.since(r.at).Milliseconds())}, 0)
 			}
 		}
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -42,7 +42,7 @@
 // placeReplicas places the replicas of a daemon that do not run.
 func (c *Core) placeReplicas(b *batch, q *queued, rooms []*room) {
 	d := q.rec.Desc
-	p := replicaPlacement{c: c, b: b, q: q, rooms: rooms, left: min(d.Pieces-q.placed, c.teamRoom(rooms, d)),
+	p := replicaPlacement{c: c, b: b, q: q, rooms: rooms, left: min(d.Tasks-q.placed, c.teamRoom(rooms, d)),
 		here: map[protocol.MachineID]int{}, used: map[protocol.MachineID]int{}}
 	if p.left <= 0 {
 		return
@@ -54,7 +54,7 @@
 	}
 	for id := range c.replica.On(q.id) {
 		for a := range c.replica.Machines[id].Rec.Of(q.id) {
-			p.here[id] += a.Pieces.Len()
+			p.here[id] += a.Tasks.Len()
 		}
 	}
 	q.leaves = c.largeTypes(d)
@@ -97,11 +97,11 @@
 // most is how many more replicas of the job the machine should have: half of them at
 // most, so that the loss of one machine does not stop the service.
 func (p *replicaPlacement) most(r *room) int {
-	most := (p.q.rec.Desc.Pieces + 1) / 2
+	most := (p.q.rec.Desc.Tasks + 1) / 2
 	if p.spread {
 		most = 1
 	}
-	return min(max(most-p.here[r.id], 0), p.left, p.q.zoneRoom(r.rec.Yard))
+	return min(max(most-p.here[r.id], 0), p.left, p.q.zoneRoom(r.rec.Zone))
 }
 
 // onFree places replicas where there is room.
@@ -210,7 +210,7 @@
 	cost := map[*room]float64{}
 	var list []*room
 	for _, r := range p.rooms {
-		if !r.coming && !r.closed && !p.q.leaves[r.rec.Build] && c.mayUse(p.q.rec.Desc, r) && good(r) && c.freeable(r, p.q) > 0 {
+		if !r.coming && !r.closed && !p.q.leaves[r.rec.Type] && c.mayUse(p.q.rec.Desc, r) && good(r) && c.freeable(r, p.q) > 0 {
 			cost[r] = c.stopCost(r, p.q)
 			list = append(list, r)
 		}
@@ -287,7 +287,7 @@
 				cost += c.lost(r, h) / float64(h.n)
 			}
 			if h.desc.Saves() {
-				wait = max(wait, h.desc.StowS)
+				wait = max(wait, h.desc.SaveS)
 			}
 		}
 	}
@@ -296,10 +296,10 @@
 
 // fetchTime is how long a machine takes to fetch the job's image.
 func (c *Core) fetchTime(r *room, d *protocol.Job) time.Duration {
-	if r.fl.FetchGBPerS <= 0 || r.m.hasImage(d.Bundle) {
+	if r.fl.FetchGBPerS <= 0 || r.m.hasImage(d.Image) {
 		return 0
 	}
-	fetch := protocol.Seconds(d.PullGB / r.fl.FetchGBPerS)
+	fetch := protocol.Seconds(d.ImageGB / r.fl.FetchGBPerS)
 	if r.m.fetching() {
 		fetch *= 2 // two images share the rate
 	}
@@ -357,5 +357,5 @@
 	if m.faulty {
 		return true
 	}
-	return m.recallAt != 0 && m.recallAt.Sub(c.now.Steady) < protocol.Seconds(d.StowS)+moveAhead
+	return m.recallAt != 0 && m.recallAt.Sub(c.now.Steady) < protocol.Seconds(d.SaveS)+moveAhead
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -12,19 +12,19 @@
 // here, its owner is told: the way between those two may be broken. (A worker
 // that answers nobody, or a late copy, is no reason to hand anything over.)
 func (c *Core) stray(r *protocol.Report) {
-	s, ok := c.strayed[r.Stall]
+	s, ok := c.strayed[r.Machine]
 	if ok && (r.Session < s.shift || r.Session == s.shift && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
 		return
 	}
 	if c.doing < maxDoing {
-		c.strayed[r.Stall] = stray{at: c.now.Steady, shift: r.Session, tally: r.Tally}
+		c.strayed[r.Machine] = stray{at: c.now.Steady, shift: r.Session, tally: r.Tally}
 		c.doing++
-		c.emit(SendShow{r.Stall, r.Addr})
+		c.emit(SendShow{r.Machine, r.Addr})
 	}
 }
 
 func (c *Core) redirect(req ReqID, to protocol.Member) {
-	c.reply(req, 421, protocol.Foreman{Foreman: to})
+	c.reply(req, 421, protocol.Redirect{Redirect: to})
 }
 
 // beat handles a worker's report.
@@ -38,7 +38,7 @@
 		c.reply(v.Req, 503, errorBody{"not ready"})
 		return
 	}
-	e := c.replica.Machines[r.Stall]
+	e := c.replica.Machines[r.Machine]
 	if e == nil || !c.mine(&e.Rec) {
 		switch {
 		case e != nil && c.replica.Alive(e.Rec.Owner) && e.Rec.Owner.Member() != c.cfg.Member:
@@ -47,7 +47,7 @@
 		case c.stateDown() || !c.registered():
 			c.redirect(v.Req, "")
 		default:
-			m := c.mstate(r.Stall)
+			m := c.mstate(r.Machine)
 			if older(r, m.lastSession, m.lastTally) || e != nil && r.Session < e.Rec.Session {
 				c.redirect(v.Req, "") // a late copy
 				return
@@ -69,7 +69,7 @@
 		c.redirect(v.Req, "")
 		return
 	}
-	m := c.own(e, r.Stall)
+	m := c.own(e, r.Machine)
 	if older(r, m.lastSession, m.lastTally) || r.Session < e.Rec.Session {
 		c.redirect(v.Req, "") // delivered late; its worker has long gone on
 		return
@@ -115,11 +115,11 @@
 }
 
 // heed notices a worker whose reports arrive while answers may not reach it: it
-// does not show the baton, nor the starts, that the last answer had, or its
+// does not show the token, nor the starts, that the last answer had, or its
 // session has ended. Whether it hears is then asked directly.
 func (c *Core) heed(e *bk.Machine, m *mstate, r *protocol.Report) {
 	switch {
-	case r.Session > m.owedShift && m.owedShift != 0, m.owed && (r.FencingToken < m.baton || !m.showsStarts(r)):
+	case r.Session > m.owedShift && m.owedShift != 0, m.owed && (r.FencingToken < m.token || !m.showsStarts(r)):
 		c.doubt(m)
 	case m.owed:
 		c.hears(m)
@@ -146,8 +146,8 @@
 	if len(m.inflight) == 0 {
 		return true
 	}
-	for i := range r.Pieces {
-		if try, ok := m.inflight[r.Pieces[i].Task]; ok && try == r.Pieces[i].Try {
+	for i := range r.Tasks {
+		if try, ok := m.inflight[r.Tasks[i].Task]; ok && try == r.Tasks[i].Try {
 			return true
 		}
 	}
@@ -184,8 +184,8 @@
 	if bk.EpochOf(r.FencingToken) != e.Rec.Epoch {
 		return false
 	}
-	for i := range r.Pieces {
-		p := &r.Pieces[i]
+	for i := range r.Tasks {
+		p := &r.Tasks[i]
 		if p.Stage == protocol.Ended {
 			if try, ok := e.Rec.Attempt(p.Task); ok && try == p.Try {
 				return true
@@ -230,13 +230,13 @@
 		rec.Releasing || rec.Drain {
 		return false
 	}
-	if len(r.Pieces) == 0 && len(rec.Assigned) == 0 {
+	if len(r.Tasks) == 0 && len(rec.Assigned) == 0 {
 		return true
 	}
 	if c.cfg.Report < 2*c.cfg.IdleHold {
 		return false
 	}
-	fl := c.flavor(rec.Build)
+	fl := c.flavor(rec.Type)
 	if fl == nil {
 		return false
 	}
@@ -246,13 +246,13 @@
 		if j == nil || j.Rec.Desc == nil || j.Rec.Desc.Gang() {
 			return false
 		}
-		free -= float64(rec.Assigned[i].Pieces.Len()) * j.Rec.Desc.Cores
+		free -= float64(rec.Assigned[i].Tasks.Len()) * j.Rec.Desc.Cores
 		if !c.allShown(m, &rec.Assigned[i]) {
 			return false // there is something to start
 		}
 	}
-	for i := range r.Pieces {
-		if p := &r.Pieces[i]; p.Stage == protocol.Ended {
+	for i := range r.Tasks {
+		if p := &r.Tasks[i]; p.Stage == protocol.Ended {
 			return false // to be reaped
 		}
 	}
@@ -262,8 +262,8 @@
 // allShown tells whether the report shows all tasks of an assignment.
 func (c *Core) allShown(m *mstate, a *bk.Assigned) bool {
 	all := true
-	a.Pieces.Each(func(n int) bool {
-		p := m.byTask[protocol.Task{Job: a.Job, Piece: n}]
+	a.Tasks.Each(func(n int) bool {
+		p := m.byTask[protocol.Task{Job: a.Job, Index: n}]
 		all = p != nil && p.Try == a.Try
 		return all
 	})
@@ -324,7 +324,7 @@
 	o := protocol.Orders{FencingToken: e.Rec.FencingToken, Orders: orders}
 	c.emit(Reply{Req: c.unhold(m), Status: 200, Body: o.Encode()})
 	if m.heldAt > m.answered {
-		m.answered, m.baton = m.heldAt, e.Rec.FencingToken
+		m.answered, m.token = m.heldAt, e.Rec.FencingToken
 	}
 }
 
@@ -335,8 +335,8 @@
 	rep, rec := m.rep, &e.Rec
 	proven := m.proven(rec) != nil
 	fresh := c.fresh()
-	for i := range rep.Pieces {
-		p := &rep.Pieces[i]
+	for i := range rep.Tasks {
+		p := &rep.Tasks[i]
 		try, ok := rec.Attempt(p.Task)
 		assigned := ok && try == p.Try
 		if p.Stage == protocol.Ended {
@@ -371,8 +371,8 @@
 		if j.Rec.Desc.Gang() && !c.gangWhole(a.Job, &j.Rec, a.Try) {
 			continue
 		}
-		a.Pieces.Each(func(n int) bool {
-			t := protocol.Task{Job: a.Job, Piece: n}
+		a.Tasks.Each(func(n int) bool {
+			t := protocol.Task{Job: a.Job, Index: n}
 			if p := m.byTask[t]; p != nil && (p.Try == a.Try || p.Stage != protocol.Ended || !proven) {
 				return true // here already, or an old attempt that must go first
 			}
@@ -402,17 +402,17 @@
 		}
 		for a := range m.Rec.Of(id) {
 			if a.Try == try {
-				have = have.Union(a.Pieces)
+				have = have.Union(a.Tasks)
 			}
 		}
 	}
-	return have.Len() == j.Desc.Pieces
+	return have.Len() == j.Desc.Tasks
 }
 
 // onDo takes the report that answers a direct command.
 func (c *Core) onDo(v DoResult) {
 	c.doing--
-	ok := v.Err == nil && v.Report != nil && v.Report.Stall == v.Machine
+	ok := v.Err == nil && v.Report != nil && v.Report.Machine == v.Machine
 	if s, is := c.strayed[v.Machine]; is && ok {
 		s.shown = true
 		c.strayed[v.Machine] = s
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -38,7 +38,7 @@
 const eps = 1e-6
 
 func (r *room) fits(j *protocol.Job) int {
-	n := protocol.MaxPieces
+	n := protocol.MaxTasks
 	for _, p := range [3][2]float64{{r.cores, j.Cores}, {r.accels, j.Accelerators}, {r.mem, j.MemGB}} {
 		if p[1] > 0 {
 			n = min(n, int(math.Floor(p[0]/p[1]+eps)))
@@ -55,7 +55,7 @@
 
 // mayUse tells whether the job's tasks may be on the machine at all.
 func (c *Core) mayUse(j *protocol.Job, r *room) bool {
-	return j.Allowed(r.rec.Build, r.rec.Yard) && (!r.rec.Loaner || c.spotFor(j, r.fl))
+	return j.Allowed(r.rec.Type, r.rec.Zone) && (!r.rec.Spot || c.spotFor(j, r.fl))
 }
 
 // spotFor tells whether the job may use spot machines of a type. The rule
@@ -63,10 +63,10 @@
 // short that what a reclaim is expected to cost is less than what spot saves,
 // it may do without (docs/design.md).
 func (c *Core) spotFor(j *protocol.Job, f *protocol.Flavor) bool {
-	if !j.Loaners {
+	if !j.Spot {
 		return false
 	}
-	return j.Saves() || f.Rate > 0 && j.ReckonS/3600*c.cfg.SpotLoss < 1-f.LowPrice/f.Rate
+	return j.Saves() || f.Rate > 0 && j.EstimateS/3600*c.cfg.SpotLoss < 1-f.LowPrice/f.Rate
 }
 
 // rooms lists the machines, with what is left on them.
@@ -90,7 +90,7 @@
 			}
 			rec = b.viewMachine(id)
 		}
-		fl := flavors[rec.Build]
+		fl := flavors[rec.Type]
 		if fl == nil {
 			continue
 		}
@@ -108,14 +108,14 @@
 				order = c.order(j.Desc)
 				orders[j.Desc] = order
 			}
-			n := a.Pieces.Len()
+			n := a.Tasks.Len()
 			r.take(j.Desc, n)
 			r.used = append(r.used, held{a.Job, a.Try, n, j.Desc, order})
 		}
-		if rec.Loaner && !r.closed {
+		if rec.Spot && !r.closed {
 			age := millis(c.now.Wall - rec.Since)
 			r.margin = NearBoundary(id, age, c.cfg.SpotPeriod, c.cfg.SpotMargin)
-			if t := c.spot[priceKey{rec.Build, rec.Yard}]; t != nil && !t.Open() || r.margin {
+			if t := c.spot[priceKey{rec.Type, rec.Zone}]; t != nil && !t.Open() || r.margin {
 				r.closed = true
 			}
 		}
@@ -129,7 +129,7 @@
 	var out []*room
 	for _, name := range sorted(c.rentals.requests) {
 		r := c.rentals.requests[name]
-		fl := c.flavor(r.request.Build)
+		fl := c.flavor(r.request.Type)
 		if fl == nil {
 			continue
 		}
@@ -144,7 +144,7 @@
 		}
 		for range n {
 			out = append(out, &room{id: protocol.MachineID("~" + name), coming: true, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB,
-				rec: &bk.MachineRecord{Build: r.request.Build, Yard: r.request.Yard, Loaner: r.request.Loaners}})
+				rec: &bk.MachineRecord{Type: r.request.Type, Zone: r.request.Zone, Spot: r.request.Spot}})
 		}
 	}
 	return out
@@ -164,7 +164,7 @@
 	}
 	sums := map[poolKey]*sum{}
 	for _, r := range rooms {
-		k := poolKey{r.rec.Build, "", r.rec.Loaner}
+		k := poolKey{r.rec.Type, "", r.rec.Spot}
 		if sums[k] == nil {
 			sums[k] = &sum{}
 		}
@@ -183,10 +183,10 @@
 		sums[k].used += r.fl.Cores - r.cores
 	}
 	for k, t := range c.spot {
-		c.log(slog.LevelDebug, "spot rule", "type", string(k.sku), "zone", string(k.yard), "price", t.price, "threshold", t.value, "open", t.Open())
+		c.log(slog.LevelDebug, "spot rule", "type", string(k.sku), "zone", string(k.zone), "price", t.price, "threshold", t.value, "open", t.Open())
 	}
 	for k, s := range sums {
-		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.loaner, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used, "margin", s.margin, "closed", s.closed)
+		c.log(slog.LevelDebug, "fleet", "type", string(k.sku), "spot", k.spot, "up", s.up, "coming", s.coming, "cores", s.cores, "used", s.used, "margin", s.margin, "closed", s.closed)
 	}
 }
 
@@ -205,12 +205,12 @@
 func (c *Core) noteImage(id protocol.MachineID, fl *protocol.Flavor, j *protocol.Job) {
 	m := c.mstate(id)
 	for i := range m.images {
-		if m.images[i].name == j.Bundle {
+		if m.images[i].name == j.Image {
 			m.images = append(m.images[:i], m.images[i+1:]...)
 			break
 		}
 	}
-	m.images = append(m.images, image{j.Bundle, j.PullGB})
+	m.images = append(m.images, image{j.Image, j.ImageGB})
 	sum := 0.0
 	for i := len(m.images) - 1; i >= 0; i-- {
 		if sum += m.images[i].gb; sum > fl.LocalGB {
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -8,7 +8,7 @@
 
 type priceKey struct {
 	sku  protocol.Sku
-	yard protocol.Zone
+	zone protocol.Zone
 }
 
 // Threshold is the THRESHOLD rule (paper, 3.3.1) for one machine type in one
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -63,7 +63,7 @@
 	if !r.Stage.Final() {
 		for mid := range c.replica.On(id) {
 			for as := range c.replica.Machines[mid].Rec.Of(id) {
-				running += as.Pieces.Len()
+				running += as.Tasks.Len()
 			}
 		}
 		a.Stage = protocol.Queued
@@ -204,20 +204,20 @@
 
 // canRun tells whether the job could ever run here.
 func (c *Core) canRun(j *protocol.Job) bool {
-	team, ok := c.cfg.Teams[j.Desk]
+	team, ok := c.cfg.Teams[j.Team]
 	if !ok {
 		return false
 	}
 	need := 1.0
 	if j.Gang() || j.Daemon() {
-		need = float64(j.Pieces)
+		need = float64(j.Tasks)
 	}
 	if team.CoresMax > 0 && need*j.Cores > team.CoresMax+1e-9 || team.AccelsMax > 0 && need*j.Accelerators > team.AccelsMax+1e-9 {
 		return false
 	}
 	for i := range c.flavors {
 		f := &c.flavors[i]
-		for _, z := range f.Yards {
+		for _, z := range f.Zones {
 			if j.Allowed(f.Sku, z) && f.Fits(j) {
 				return true
 			}
@@ -261,7 +261,7 @@
 			}
 			// Written just now or by another node; at least queued.
 			if e.Rec.Claim == c.run {
-				c.log(slog.LevelDebug, "job accepted", "job", string(id), "lane", s.job.Lane, "tasks", s.job.Pieces)
+				c.log(slog.LevelDebug, "job accepted", "job", string(id), "lane", s.job.Class, "tasks", s.job.Tasks)
 				c.reply(req, 201, c.jobAnswer(id, &e.Rec, false))
 			} else {
 				c.wait(&waiter{req: req, verb: protocol.Submit, id: id, job: s.job, at: s.at})
@@ -288,7 +288,7 @@
 		} else if c.canRun(w.job) {
 			c.onSubmit(w.req, w.job)
 		} else {
-			c.log(slog.LevelInfo, "job refused, it can never run", "job", string(w.id), "team", w.job.Desk)
+			c.log(slog.LevelInfo, "job refused, it can never run", "job", string(w.id), "team", w.job.Team)
 			c.reply(w.req, 422, errorBody{"can never run"})
 		}
 	case e == nil:
--- a/internal/coordination/warmpool.go
+++ b/internal/coordination/warmpool.go
@@ -45,7 +45,7 @@
 	}
 	total, pressing := 0.0, 0.0
 	for _, q := range queue {
-		tasks := float64(q.rec.Desc.Pieces - q.done)
+		tasks := float64(q.rec.Desc.Tasks - q.done)
 		if q.rec.Desc.Daemon() {
 			tasks -= float64(q.placed) // what runs will not ask for a machine again
 		}
@@ -54,10 +54,10 @@
 			continue
 		}
 		pressing += tasks * q.rec.Desc.Cores
-		class := w.classes[q.rec.Desc.Lane]
+		class := w.classes[q.rec.Desc.Class]
 		if class == nil {
 			class = &urgentClass{}
-			w.classes[q.rec.Desc.Lane] = class
+			w.classes[q.rec.Desc.Class] = class
 		}
 		class.task = q.rec.Desc
 		class.now += tasks
@@ -102,7 +102,7 @@
 // corePrice is what a core of the machine costs.
 func (r *room) corePrice() float64 {
 	price := r.fl.Rate
-	if r.rec.Loaner {
+	if r.rec.Spot {
 		price = r.fl.LowPrice
 	}
 	return price / max(r.fl.Cores, eps)
@@ -132,7 +132,7 @@
 func startTime(f *protocol.Flavor, d *protocol.Job) time.Duration {
 	s := f.ReadyS
 	if f.FetchGBPerS > 0 {
-		s += d.PullGB / f.FetchGBPerS
+		s += d.ImageGB / f.FetchGBPerS
 	}
 	return protocol.Seconds(s)
 }
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -47,7 +47,7 @@
 		if newer := m.confirmed < e.Rec.FencingToken; e.Rec.Session > 0 && (newer && bk.EpochOf(m.confirmed) == e.Rec.Epoch && m.held == 0 ||
 			newer && c.since(m.heardAt) > 500*time.Millisecond || m.doubtAt != 0 && m.heardAt >= m.doubtAt) {
 			// The worker may still report to an owner that was cut off: the
-			// higher baton makes that one's answers worthless. One that may not
+			// higher token makes that one's answers worthless. One that may not
 			// hear is asked.
 			c.do(e, m, nil, 2*time.Second)
 		}
@@ -84,7 +84,7 @@
 
 func (c *Core) watchGangs() {
 	for id, e := range c.replica.Open {
-		if !e.Rec.Desc.Gang() || e.Rec.Desc.Pieces < 2 {
+		if !e.Rec.Desc.Gang() || e.Rec.Desc.Tasks < 2 {
 			continue
 		}
 		try := c.lastTry(id, nil)
@@ -109,8 +109,8 @@
 	if m.recallAt != 0 {
 		left = m.recallAt.Sub(c.now.Steady)
 	}
-	for i := range m.rep.Pieces {
-		p := &m.rep.Pieces[i]
+	for i := range m.rep.Tasks {
+		p := &m.rep.Tasks[i]
 		if p.Stage == protocol.Ended {
 			continue
 		}
@@ -129,20 +129,20 @@
 			urgent = true
 		}
 		if h := je.Rec.Halt; h > 0 && h >= p.Try {
-			c.stop(m, p.Task, p.Try, d.StowS+1, "gang stops in order")
+			c.stop(m, p.Task, p.Try, d.SaveS+1, "gang stops in order")
 			urgent = true
 		}
 		if d.Daemon() && p.Stage != protocol.Flushing && c.mustMove(m, d) {
-			c.stop(m, p.Task, p.Try, d.StowS, "its machine goes")
+			c.stop(m, p.Task, p.Try, d.SaveS, "its machine goes")
 			urgent = true
 		}
-		if m.recallAt != 0 && !d.Daemon() && d.Saves() && (!d.Gang() || d.Pieces == 1) && p.Stage == protocol.TaskRunning &&
-			left < protocol.Seconds(d.StowS)+2*c.cfg.Report+time.Second && left > protocol.Seconds(d.StowS) {
-			c.stop(m, p.Task, p.Try, d.StowS, "recall")
+		if m.recallAt != 0 && !d.Daemon() && d.Saves() && (!d.Gang() || d.Tasks == 1) && p.Stage == protocol.TaskRunning &&
+			left < protocol.Seconds(d.SaveS)+2*c.cfg.Report+time.Second && left > protocol.Seconds(d.SaveS) {
+			c.stop(m, p.Task, p.Try, d.SaveS, "recall")
 			urgent = true
 		}
-		if m.recallAt != 0 && d.Saves() && d.Gang() && d.Pieces > 1 && p.Stage == protocol.TaskRunning && je.Rec.Halt < p.Try &&
-			left < protocol.Seconds(d.StowS)+2*c.cfg.Report+c.cfg.GangPeer+time.Second && left > protocol.Seconds(d.StowS) {
+		if m.recallAt != 0 && d.Saves() && d.Gang() && d.Tasks > 1 && p.Stage == protocol.TaskRunning && je.Rec.Halt < p.Try &&
+			left < protocol.Seconds(d.SaveS)+2*c.cfg.Report+c.cfg.GangPeer+time.Second && left > protocol.Seconds(d.SaveS) {
 			c.halts[p.Task.Job] = p.Try
 		}
 		if s, ok := m.stops[p.Task]; ok && s.try == p.Try && p.Stage != protocol.Flushing {
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -18,7 +18,7 @@
 // owner answers for it: this controller by what it knows itself (settled), another one
 // by an acknowledgement, which binds its process. A run that has ended answers for
 // nothing, as its process may be cut off with its workers and go on: its heir must have
-// been shown the baton by the worker. Who takes a page over, or begins, knows the
+// been shown the token by the worker. Who takes a page over, or begins, knows the
 // intent by then: it answers no worker before its replica has its own write.
 
 // Intent is the fact that a job is being withdrawn, for controllers whose replicas do
@@ -82,7 +82,7 @@
 
 // settled tells whether on an owned machine no task of a job that is called off can
 // begin any more, and no earlier owner can keep one: the worker has shown this
-// ownership's baton, and what its newest report shows is past its image or gone.
+// ownership's token, and what its newest report shows is past its image or gone.
 func (c *Core) settled(id protocol.MachineID, job protocol.JobID) bool {
 	e, m := c.replica.Machines[id], c.machines[id]
 	if c.returned(id) {
@@ -109,8 +109,8 @@
 // either lacks each of them or shows it as it should be.
 func (m *mstate) each(a *bk.Assigned, ok func(*protocol.TaskReport) bool) bool {
 	all := true
-	a.Pieces.Each(func(n int) bool {
-		t := protocol.Task{Job: a.Job, Piece: n}
+	a.Tasks.Each(func(n int) bool {
+		t := protocol.Task{Job: a.Job, Index: n}
 		_, sent := m.inflight[t]
 		p := m.byTask[t]
 		all = !sent && (p == nil || ok(p))
@@ -198,7 +198,7 @@
 		switch {
 		case e == nil || e.Rec.Stage.Final():
 			delete(c.cancellations.wanted, id)
-		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.cancellations.aware[id] || c.replica.Done(id).Len() >= e.Rec.Desc.Pieces):
+		case !b.hasRoom(1) || e.Rec.Withdrawing && (!c.cancellations.aware[id] || c.replica.Done(id).Len() >= e.Rec.Desc.Tasks):
 			// Not yet; or all its tasks turned out done first: its claimant says so.
 		case e.Rec.Withdrawing || c.inOneWrite(b, id):
 			r := b.job(id)
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -27,7 +27,7 @@
 	Rate         float64 `json:"rate"`
 	LowPrice     float64 `json:"low_price"`
 	ReadyS       float64 `json:"ready_s"`
-	Yards        []Zone  `json:"yards"`
+	Zones        []Zone  `json:"yards"`
 }
 
 // Fits tells whether one task of the job fits an empty machine of the type.
@@ -35,9 +35,9 @@
 	return j.Cores <= f.Cores && j.Accelerators <= f.Accelerators && j.MemGB <= f.MemGB
 }
 
-// InYard tells whether the type is rented in the zone.
-func (f *Flavor) InYard(z Zone) bool {
-	for _, y := range f.Yards {
+// InZone tells whether the type is rented in the zone.
+func (f *Flavor) InZone(z Zone) bool {
+	for _, y := range f.Zones {
 		if y == z {
 			return true
 		}
@@ -47,13 +47,13 @@
 
 // Allowed tells whether the job may use the type in the zone.
 func (j *Job) Allowed(s Sku, z Zone) bool {
-	if j.Yard != "" && j.Yard != z {
+	if j.Zone != "" && j.Zone != z {
 		return false
 	}
-	if len(j.Builds) == 0 {
+	if len(j.Types) == 0 {
 		return true
 	}
-	for _, b := range j.Builds {
+	for _, b := range j.Types {
 		if b == s {
 			return true
 		}
@@ -64,39 +64,39 @@
 // ParseFlavors reads the machine types and refuses values that cannot be.
 func ParseFlavors(body []byte) ([]Flavor, error) {
 	var w struct {
-		Builds []Flavor `json:"builds"`
+		Types []Flavor `json:"builds"`
 	}
 	if err := DecodeStrict(body, &w); err != nil {
 		return nil, err
 	}
-	if len(w.Builds) == 0 {
+	if len(w.Types) == 0 {
 		return nil, fmt.Errorf("no machine types")
 	}
-	for _, f := range w.Builds {
+	for _, f := range w.Types {
 		for _, v := range []float64{f.Cores, f.Accelerators, f.MemGB, f.LocalGB, f.FetchGBPerS, f.Rate, f.LowPrice, f.ReadyS} {
 			if v < 0 || math.IsNaN(v) || v > 1e9 {
 				return nil, fmt.Errorf("machine type %q has an impossible value", f.Sku)
 			}
 		}
-		if f.Sku == "" || len(f.Yards) == 0 {
+		if f.Sku == "" || len(f.Zones) == 0 {
 			return nil, fmt.Errorf("a machine type has no name or zone")
 		}
 	}
-	return w.Builds, nil
+	return w.Types, nil
 }
 
 // Hire is a rental request.
 type Hire struct {
-	Hire    string `json:"hire"`
-	Build   Sku    `json:"build"`
-	Yard    Zone   `json:"yard"`
-	Loaners bool   `json:"loaners"`
-	Count   int    `json:"count"`
+	Hire  string `json:"hire"`
+	Type  Sku    `json:"build"`
+	Zone  Zone   `json:"yard"`
+	Spot  bool   `json:"loaners"`
+	Count int    `json:"count"`
 }
 
-// Stalls is a list of machine names: the answer to a hire, the body of a release.
-type Stalls struct {
-	Stalls []MachineID `json:"stalls"`
+// Machines is a list of machine names: the answer to a hire, the body of a release.
+type Machines struct {
+	Machines []MachineID `json:"stalls"`
 }
 
 // HostStage is the cloud's view of a machine.
@@ -107,19 +107,19 @@
 
 // Host is a machine of the cloud's list.
 type Host struct {
-	UID     MachineID `json:"uid"`
-	Addr    string    `json:"addr"`
-	Build   Sku       `json:"build"`
-	Yard    Zone      `json:"yard"`
-	Loaners bool      `json:"loaners"`
-	Stage   HostStage `json:"stage"`
-	AgeS    float64   `json:"age_s"`
+	UID   MachineID `json:"uid"`
+	Addr  string    `json:"addr"`
+	Type  Sku       `json:"build"`
+	Zone  Zone      `json:"yard"`
+	Spot  bool      `json:"loaners"`
+	Stage HostStage `json:"stage"`
+	AgeS  float64   `json:"age_s"`
 }
 
 // Hosts is one page of the cloud's list.
 type Hosts struct {
-	Stalls []Host `json:"stalls"`
-	More   bool   `json:"more"`
+	Machines []Host `json:"stalls"`
+	More     bool   `json:"more"`
 }
 
 // HostsPath asks for the page behind a name.
--- a/internal/protocol/ids.go
+++ b/internal/protocol/ids.go
@@ -58,10 +58,10 @@
 // Task names one task of a job: "j-000412/3".
 type Task struct {
 	Job   JobID
-	Piece int
+	Index int
 }
 
-func (t Task) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Piece) }
+func (t Task) String() string { return string(t.Job) + "/" + strconv.Itoa(t.Index) }
 
 // MarshalText writes the task's wire form.
 func (t Task) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
@@ -70,9 +70,9 @@
 func (t *Task) UnmarshalText(b []byte) error {
 	job, piece, ok := strings.Cut(string(b), "/")
 	n, err := strconv.Atoi(piece)
-	if !ok || err != nil || n < 0 || n >= MaxPieces || !JobID(job).Valid() {
+	if !ok || err != nil || n < 0 || n >= MaxTasks || !JobID(job).Valid() {
 		return fmt.Errorf("malformed task %q", b)
 	}
-	t.Job, t.Piece = JobID(job), n
+	t.Job, t.Index = JobID(job), n
 	return nil
 }
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -11,8 +11,8 @@
 
 // Limits of the users' interface.
 const (
-	MaxPieces = 100_000
-	MaxBody   = 64 << 10
+	MaxTasks = 100_000
+	MaxBody  = 64 << 10
 )
 
 // Paths of the users' and workers' interfaces.
@@ -59,25 +59,25 @@
 // Job is a submission.
 type Job struct {
 	UID          JobID    `json:"uid"`
-	Lane         string   `json:"lane"`
-	Desk         string   `json:"desk"`
+	Class        string   `json:"lane"`
+	Team         string   `json:"desk"`
 	Shape        Shape    `json:"shape"`
 	Rank         Rank     `json:"rank"`
-	Pieces       int      `json:"pieces"`
+	Tasks        int      `json:"pieces"`
 	Cores        float64  `json:"cores"`
 	Accelerators float64  `json:"accelerators"`
 	MemGB        float64  `json:"mem_gb"`
-	Bundle       string   `json:"bundle"`
-	PullGB       float64  `json:"pull_gb"`
-	Builds       []Sku    `json:"builds,omitempty"`
-	Yard         Zone     `json:"yard,omitempty"`
-	Together     bool     `json:"together"`
-	Scatter      bool     `json:"scatter"`
-	Loaners      bool     `json:"loaners"`
-	ReckonS      float64  `json:"reckon_s"`
-	BookmarkS    float64  `json:"bookmark_s"`
-	StowS        float64  `json:"stow_s"`
-	DueS         *float64 `json:"due_s,omitempty"`
+	Image        string   `json:"bundle"`
+	ImageGB      float64  `json:"pull_gb"`
+	Types        []Sku    `json:"builds,omitempty"`
+	Zone         Zone     `json:"yard,omitempty"`
+	OneZone      bool     `json:"together"`
+	Spread       bool     `json:"scatter"`
+	Spot         bool     `json:"loaners"`
+	EstimateS    float64  `json:"reckon_s"`
+	CheckpointS  float64  `json:"bookmark_s"`
+	SaveS        float64  `json:"stow_s"`
+	DeadlineS    *float64 `json:"due_s,omitempty"`
 }
 
 // Gang tells whether all tasks run at the same time or none does.
@@ -88,7 +88,7 @@
 func (j *Job) Daemon() bool { return j.Shape == Daemon }
 
 // Saves tells whether tasks keep checkpoints.
-func (j *Job) Saves() bool { return j.BookmarkS > 0 }
+func (j *Job) Saves() bool { return j.CheckpointS > 0 }
 
 // ErrMalformed is the cause of a 400.
 var ErrMalformed = errors.New("malformed")
@@ -107,95 +107,139 @@
 	return nil
 }
 
-func amount(f *float64, max float64) bool {
-	return f != nil && !math.IsNaN(*f) && !math.IsInf(*f, 0) && *f >= 0 && *f <= max
+// maxAmount bounds amounts and durations of a submission, maxName the names in it.
+const (
+	maxAmount   = 1e9
+	maxName     = 200
+	maxTypes    = 50
+	maxTypeName = 100
+)
+
+// submission is a job as it comes over the wire. Every field is a pointer, so that a
+// missing one differs from a zero.
+type submission struct {
+	UID          *JobID   `json:"uid"`
+	Class        *string  `json:"lane"`
+	Team         *string  `json:"desk"`
+	Shape        *Shape   `json:"shape"`
+	Rank         *Rank    `json:"rank"`
+	Tasks        *float64 `json:"pieces"`
+	Cores        *float64 `json:"cores"`
+	Accelerators *float64 `json:"accelerators"`
+	MemGB        *float64 `json:"mem_gb"`
+	Image        *string  `json:"bundle"`
+	ImageGB      *float64 `json:"pull_gb"`
+	Types        *[]Sku   `json:"builds"`
+	Zone         *Zone    `json:"yard"`
+	OneZone      *bool    `json:"together"`
+	Spread       *bool    `json:"scatter"`
+	Spot         *bool    `json:"loaners"`
+	EstimateS    *float64 `json:"reckon_s"`
+	CheckpointS  *float64 `json:"bookmark_s"`
+	SaveS        *float64 `json:"stow_s"`
+	DeadlineS    *float64 `json:"due_s"`
 }
 
 // ParseJob reads and checks a submission.
 func ParseJob(body []byte) (*Job, error) {
-	// Every field is a pointer here, so that a missing one differs from a zero.
-	var w struct {
-		UID, Lane, Desk     *string
-		Shape               *Shape
-		Rank                *Rank
-		Pieces              *float64
-		Cores, Accelerators *float64
-		MemGB               *float64 `json:"mem_gb"`
-		Bundle              *string
-		PullGB              *float64 `json:"pull_gb"`
-		Builds              *[]Sku
-		Yard                *Zone
-		Together, Scatter   *bool
-		Loaners             *bool
-		ReckonS             *float64 `json:"reckon_s"`
-		BookmarkS           *float64 `json:"bookmark_s"`
-		StowS               *float64 `json:"stow_s"`
-		DueS                *float64 `json:"due_s"`
-	}
+	var w submission
 	if err := DecodeStrict(body, &w); err != nil {
 		return nil, err
 	}
-	const big = 1e9
+	for _, check := range []func() error{w.checkNames, w.checkKind, w.checkAmounts, w.checkPlaces} {
+		if err := check(); err != nil {
+			return nil, err
+		}
+	}
+	return w.job(), nil
+}
+
+func validName(name *string) bool { return name != nil && *name != "" && len(*name) <= maxName }
+
+func (w *submission) checkNames() error {
 	switch {
-	case w.UID == nil || !JobID(*w.UID).Valid():
-		return nil, bad("uid")
-	case w.Lane == nil || *w.Lane == "" || len(*w.Lane) > 200:
-		return nil, bad("lane")
-	case w.Desk == nil || *w.Desk == "" || len(*w.Desk) > 200:
-		return nil, bad("desk")
-	case w.Shape == nil || (*w.Shape != Batch && *w.Shape != Group && *w.Shape != Daemon):
-		return nil, bad("shape")
-	case w.Rank == nil:
-		return nil, bad("rank")
-	case w.Pieces == nil:
-		return nil, bad("pieces")
-	case !amount(w.Cores, big):
-		return nil, bad("cores")
-	case !amount(w.Accelerators, big):
-		return nil, bad("accelerators")
-	case !amount(w.MemGB, big):
-		return nil, bad("mem_gb")
-	case w.Bundle == nil || *w.Bundle == "" || len(*w.Bundle) > 200:
-		return nil, bad("bundle")
-	case !amount(w.PullGB, big):
-		return nil, bad("pull_gb")
-	case w.Builds != nil && (len(*w.Builds) == 0 || len(*w.Builds) > 50):
-		return nil, bad("builds")
-	case w.Yard != nil && (*w.Yard == "" || len(*w.Yard) > 200):
-		return nil, bad("yard")
-	case !amount(w.ReckonS, big):
-		return nil, bad("reckon_s")
-	case !amount(w.BookmarkS, big):
-		return nil, bad("bookmark_s")
-	case !amount(w.StowS, big):
-		return nil, bad("stow_s")
-	case w.Together == nil || w.Scatter == nil || w.Loaners == nil:
-		return nil, bad("together, scatter or loaners")
-	case w.DueS != nil && !amount(w.DueS, big):
-		return nil, bad("due_s")
+	case w.UID == nil || !w.UID.Valid():
+		return bad("uid")
+	case !validName(w.Class):
+		return bad("lane")
+	case !validName(w.Team):
+		return bad("desk")
+	case !validName(w.Image):
+		return bad("bundle")
+	}
+	return nil
+}
+
+func (w *submission) checkKind() error {
+	if w.Shape == nil || *w.Shape != Batch && *w.Shape != Group && *w.Shape != Daemon {
+		return bad("shape")
+	}
+	if w.Rank == nil {
+		return bad("rank")
 	}
 	if _, ok := ranks[*w.Rank]; !ok {
-		return nil, bad("rank")
-	}
-	n := *w.Pieces
-	if n != math.Trunc(n) || n < 1 || n > MaxPieces {
-		return nil, bad("pieces")
-	}
-	j := &Job{UID: JobID(*w.UID), Lane: *w.Lane, Desk: *w.Desk, Shape: *w.Shape, Rank: *w.Rank, Pieces: int(n),
-		Cores: *w.Cores, MemGB: *w.MemGB, Bundle: *w.Bundle, PullGB: *w.PullGB, ReckonS: *w.ReckonS, DueS: w.DueS,
-		Accelerators: *w.Accelerators, Together: *w.Together, Scatter: *w.Scatter, Loaners: *w.Loaners, BookmarkS: *w.BookmarkS, StowS: *w.StowS}
-	if w.Builds != nil {
-		j.Builds = *w.Builds
-		for _, s := range j.Builds {
-			if s == "" || len(s) > 100 {
-				return nil, bad("builds")
-			}
+		return bad("rank")
+	}
+	if w.Tasks == nil || *w.Tasks != math.Trunc(*w.Tasks) || *w.Tasks < 1 || *w.Tasks > MaxTasks {
+		return bad("pieces")
+	}
+	if w.OneZone == nil || w.Spread == nil || w.Spot == nil {
+		return bad("together, scatter or loaners")
+	}
+	return nil
+}
+
+func (w *submission) checkAmounts() error {
+	for _, field := range []struct {
+		name  string
+		value *float64
+	}{
+		{"cores", w.Cores}, {"accelerators", w.Accelerators}, {"mem_gb", w.MemGB}, {"pull_gb", w.ImageGB},
+		{"reckon_s", w.EstimateS}, {"bookmark_s", w.CheckpointS}, {"stow_s", w.SaveS},
+	} {
+		if field.value == nil || !validAmount(*field.value) {
+			return bad(field.name)
 		}
 	}
-	if w.Yard != nil {
-		j.Yard = *w.Yard
+	if w.DeadlineS != nil && !validAmount(*w.DeadlineS) {
+		return bad("due_s")
+	}
+	return nil
+}
+
+func validAmount(f float64) bool { return f >= 0 && f <= maxAmount }
+
+func (w *submission) checkPlaces() error {
+	if w.Zone != nil && (*w.Zone == "" || len(*w.Zone) > maxName) {
+		return bad("yard")
+	}
+	if w.Types == nil {
+		return nil
+	}
+	if len(*w.Types) == 0 || len(*w.Types) > maxTypes {
+		return bad("builds")
+	}
+	for _, s := range *w.Types {
+		if s == "" || len(s) > maxTypeName {
+			return bad("builds")
+		}
+	}
+	return nil
+}
+
+// job is the submission once it is checked.
+func (w *submission) job() *Job {
+	j := &Job{UID: *w.UID, Class: *w.Class, Team: *w.Team, Shape: *w.Shape, Rank: *w.Rank, Tasks: int(*w.Tasks),
+		Cores: *w.Cores, Accelerators: *w.Accelerators, MemGB: *w.MemGB, Image: *w.Image, ImageGB: *w.ImageGB,
+		OneZone: *w.OneZone, Spread: *w.Spread, Spot: *w.Spot,
+		EstimateS: *w.EstimateS, CheckpointS: *w.CheckpointS, SaveS: *w.SaveS, DeadlineS: w.DeadlineS}
+	if w.Types != nil {
+		j.Types = *w.Types
+	}
+	if w.Zone != nil {
+		j.Zone = *w.Zone
 	}
-	return j, nil
+	return j
 }
 
 // JobAnswer is what users are told of a job.
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -46,16 +46,16 @@
 
 // Report is what a worker says of its machine.
 type Report struct {
-	Stall        MachineID    `json:"stall"`
+	Machine      MachineID    `json:"stall"`
 	Addr         string       `json:"addr"`
-	Build        Sku          `json:"build"`
-	Yard         Zone         `json:"yard"`
-	Loaners      bool         `json:"loaners"`
+	Type         Sku          `json:"build"`
+	Zone         Zone         `json:"yard"`
+	Spot         bool         `json:"loaners"`
 	Session      Session      `json:"shift"`
 	Tally        Tally        `json:"tally"`
 	FencingToken FencingToken `json:"baton"`
 	RecallS      *float64     `json:"recall_s"`
-	Pieces       []TaskReport `json:"pieces"`
+	Tasks        []TaskReport `json:"pieces"`
 }
 
 // ParseReport reads and checks a worker's report.
@@ -64,7 +64,7 @@
 	if err := DecodeStrict(body, &r); err != nil {
 		return nil, err
 	}
-	if !r.Stall.Valid() || r.Session == 0 || r.Build == "" || r.Yard == "" {
+	if !r.Machine.Valid() || r.Session == 0 || r.Type == "" || r.Zone == "" {
 		return nil, bad("report")
 	}
 	if r.RecallS != nil && (*r.RecallS < 0 || *r.RecallS > 1e6) {
@@ -106,9 +106,9 @@
 	return Encode(o)
 }
 
-// Foreman sends a worker to another node; with no name it tries the next.
-type Foreman struct {
-	Foreman Member `json:"foreman,omitempty"`
+// Redirect sends a worker to another node; with no name it tries the next.
+type Redirect struct {
+	Redirect Member `json:"foreman,omitempty"`
 }
 
 // Encode gives a message's wire form. Its callers pass only types of this
