Ownership of machines is decided in internal/shares; moves of pages may be on record

Takeover, balance and hand-over were spread over coordination, and a page passed with starts still on their way. Change: pure planner, phases of a move, heirs and hand-over rules in internal/shares; the record t/m/<taker>/<slot>; coordination writes what they say (ownership.go, moves.go, move_requests.go). Moves on record are off unless set. A checker of the state service's whole history joins the stand-in world.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -165,6 +165,8 @@
 	// The newest format that its version can read. Versions before FormatPacked don't
 	// have the field.
 	Reads Format `json:"v,omitempty"`
+	// Its version takes part in moves that are on record.
+	Moves bool `json:"m,omitempty"`
 }
 
 // TeamRecord orders the placements of a team that has a limit.
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -47,6 +47,7 @@
 	Machines    map[protocol.MachineID]*Machine
 	Members     map[protocol.Member]*Entry[MemberRecord]
 	Teams       map[string]protocol.Stamp
+	Moves       map[MoveSlot]*Entry[MoveRecord]
 	Roll        protocol.Stamp                       // of RollKey
 	Format      Entry[FormatRecord]                  // of FormatKey
 	Open        map[protocol.JobID]*Entry[JobRecord] // the jobs that are neither done nor withdrawn
@@ -75,6 +76,7 @@
 		Machines:    map[protocol.MachineID]*Machine{},
 		Members:     map[protocol.Member]*Entry[MemberRecord]{},
 		Teams:       map[string]protocol.Stamp{},
+		Moves:       map[MoveSlot]*Entry[MoveRecord]{},
 		on:          map[protocol.JobID]map[protocol.MachineID]bool{},
 		gone:        map[string]protocol.Stamp{},
 		doneOn:      map[protocol.JobID]map[PageID]bool{},
@@ -95,6 +97,8 @@
 		return stampOf(m.Members, protocol.Member(key[len(memberPrefix):]))
 	case strings.HasPrefix(key, teamPrefix):
 		return m.Teams[key[len(teamPrefix):]]
+	case strings.HasPrefix(key, movePrefix):
+		return stampOf(m.Moves, MoveSlot(key[len(movePrefix):]))
 	case key == RollKey:
 		return m.Roll
 	case key == FormatKey:
@@ -151,6 +155,8 @@
 		err = put(m.Members, protocol.Member(key[len(memberPrefix):]), data, stamp, decodeJSON)
 	case strings.HasPrefix(key, teamPrefix):
 		m.Teams[key[len(teamPrefix):]] = stamp
+	case strings.HasPrefix(key, movePrefix):
+		err = put(m.Moves, MoveSlot(key[len(movePrefix):]), data, stamp, decodeMove)
 	case key == RollKey:
 		m.Roll = stamp
 	case key == FormatKey:
@@ -332,6 +338,8 @@
 		}
 	} else if strings.HasPrefix(key, memberPrefix) {
 		delete(m.Members, protocol.Member(key[len(memberPrefix):]))
+	} else if strings.HasPrefix(key, movePrefix) {
+		delete(m.Moves, MoveSlot(key[len(movePrefix):]))
 	} else if strings.HasPrefix(key, jobPrefix) {
 		delete(m.Jobs, protocol.JobID(key[len(jobPrefix):]))
 		delete(m.Open, protocol.JobID(key[len(jobPrefix):]))
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -22,6 +22,7 @@
 	pages    map[bk.PageID]*draft
 	machines map[protocol.MachineID]*bk.MachineRecord
 	teams    map[string]bool
+	moves    map[bk.MoveSlot]*bk.MoveRecord
 	done     map[protocol.JobID]bk.Ranges // tasks that are done by what is in the batch
 	failed   map[protocol.JobID]bool      // daemons of which a replica has ended
 	roll     bool                         // a machine is put on record
@@ -41,9 +42,12 @@
 // Room that is left on a page for what is reckoned too small.
 const pageSlack = 700
 
+// moveRecordSize is what a move's record is reckoned to take.
+const moveRecordSize = 400
+
 func (c *Core) newBatch(room int) *batch {
 	return &batch{c: c, room: room, when: map[string]protocol.Stamp{}, jobs: map[protocol.JobID]*bk.JobRecord{},
-		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, done: map[protocol.JobID]bk.Ranges{}, failed: map[protocol.JobID]bool{}}
+		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, moves: map[bk.MoveSlot]*bk.MoveRecord{}, done: map[protocol.JobID]bk.Ranges{}, failed: map[protocol.JobID]bool{}}
 }
 
 // on makes the transaction depend on a key as the replica has it.
@@ -123,6 +127,14 @@
 	return r
 }
 
+// putMove writes a move's record; the caller has asked for room.
+func (b *batch) putMove(slot bk.MoveSlot, record *bk.MoveRecord) {
+	if b.moves[slot] == nil {
+		b.open(bk.MoveKey(slot), moveRecordSize)
+	}
+	b.moves[slot] = record
+}
+
 // canAdd tells whether one more machine can be put on record.
 func (b *batch) canAdd() bool { return b.hasRoom(2) }
 
@@ -375,7 +387,7 @@
 	b.logs = append(b.logs, Log{l, msg, args})
 }
 
-func (b *batch) empty() bool { return len(b.jobs) == 0 && len(b.pages) == 0 }
+func (b *batch) empty() bool { return len(b.jobs) == 0 && len(b.pages) == 0 && len(b.moves) == 0 }
 
 func (b *batch) multi() protocol.Multi {
 	var m protocol.Multi
@@ -392,6 +404,9 @@
 		}
 		m.Then = append(m.Then, b.encodePage(id, d)...)
 	}
+	for _, slot := range sorted(b.moves) {
+		m.Then = append(m.Then, protocol.Then{Put: bk.MoveKey(slot), Data: bk.JSON(b.moves[slot])})
+	}
 	if b.roll {
 		m.Then = append(m.Then, protocol.Then{Put: bk.RollKey, Data: bk.JSON(bk.RollRecord{By: b.c.run})})
 	}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -58,13 +58,13 @@
 	if room < 1 {
 		return
 	}
-	if len(c.halts)+len(c.adopting)+len(c.deadAt) == 0 && c.now.Steady < c.nextPlan() {
+	if len(c.halts)+len(c.adopting)+len(c.ownership.deadAt) == 0 && c.now.Steady < c.nextPlan() {
 		return
 	}
 	b := c.newBatch(room)
 	c.repack(b)
 	c.writeHalts(b)
-	c.writeTakeovers(b)
+	c.writeOwners(b)
 	// What can wait does so until a fair batch can be paid for: a record is then
 	// written once for many tasks, instead of with each of them. What users ask
 	// for does not wait behind it: a few tokens are left for them.
@@ -177,7 +177,7 @@
 	run := bk.NewRun(c.cfg.Member, c.lease.id)
 	c.send(&txn{reg: true, multi: protocol.Multi{
 		When: []protocol.When{{Key: key, Stamp: c.replica.Stamp(key)}},
-		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run, Reads: bk.FormatPacked}), Tenancy: c.lease.id}}}})
+		Then: []protocol.Then{{Put: key, Data: bk.JSON(bk.MemberRecord{Run: run, Reads: bk.FormatPacked, Moves: c.cfg.RecordMoves}), Tenancy: c.lease.id}}}})
 }
 
 // committed takes in the outcome of a transaction.
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -37,27 +37,26 @@
 
 	// Transactions: one at a time, and one beside it for what users ask for, which
 	// would else wait for all that ends and starts.
-	tokens     *rate.Limiter
-	txID       uint64
-	tx         *txn
-	userTx     *txn
-	userAt     protocol.Instant // next one of those
-	fence      bool             // a transaction had an unknown outcome
-	minRev     protocol.Rev     // the replica must be as new before the next one
-	minRevAt   protocol.Instant
-	flushAt    protocol.Instant
-	busyCount  int
-	rate       float64 // writes a second that this node allows itself
-	txCap      int     // changes that a transaction may have now
-	gangNeeds  int     // changes that a gang needs which found no room in the last one
-	pageSeq    int
-	joinAt     protocol.Instant // when pages may next be joined
-	balancedAt protocol.Instant // when a page was last given to another controller
-	gaveAt     protocol.Instant // when a machine last left for a controller that its worker reached instead
-	turn       int              // of own pages, the one to go on with
-	partial    bool             // the last transaction could not take the news of all
-
-	upgrade upgrade
+	tokens    *rate.Limiter
+	txID      uint64
+	tx        *txn
+	userTx    *txn
+	userAt    protocol.Instant // next one of those
+	fence     bool             // a transaction had an unknown outcome
+	minRev    protocol.Rev     // the replica must be as new before the next one
+	minRevAt  protocol.Instant
+	flushAt   protocol.Instant
+	busyCount int
+	rate      float64 // writes a second that this node allows itself
+	txCap     int     // changes that a transaction may have now
+	gangNeeds int     // changes that a gang needs which found no room in the last one
+	pageSeq   int
+	joinAt    protocol.Instant // when pages may next be joined
+	turn      int              // of own pages, the one to go on with
+	partial   bool             // the last transaction could not take the news of all
+
+	upgrade   upgrade
+	ownership ownership
 
 	// Users and workers that wait.
 	submits       map[protocol.JobID]*submit
@@ -67,7 +66,6 @@
 	revision      revisionRead
 	machines      map[protocol.MachineID]*mstate
 	leaving       []protocol.MachineID        // owned ones that are to go back
-	handing       map[protocol.MachineID]bool // owned ones whose workers report to another controller
 	holding       map[protocol.MachineID]bool // whose reports wait for their answers
 	adopting      map[protocol.MachineID]bool // those of them that wait for an owner
 	stirred       bool                        // something has changed that they may wait for
@@ -97,8 +95,7 @@
 	peers      map[protocol.Member]peer
 	strayed    map[protocol.MachineID]stray // reported here though another run owns them
 	hintAt     protocol.Instant
-	hintSoon   bool                        // there is something that the others should hear at once
-	deadAt     map[bk.Run]protocol.Instant // since when a run is known to be dead
+	hintSoon   bool // there is something that the others should hear at once
 	planned    plan
 	assignedAt map[assignment]protocol.Instant
 	fleetAt    protocol.Instant
@@ -144,8 +141,8 @@
 		halts: map[protocol.JobID]protocol.Attempt{}, machines: map[protocol.MachineID]*mstate{}, jobs: map[protocol.JobID]*jstate{},
 		rentals: newRentals(), warm: newWarmPool(), waitedFor: map[protocol.Sku]protocol.Instant{}, releasing: map[protocol.MachineID]*release{},
 		listed: map[protocol.MachineID]*listing{}, released: map[protocol.MachineID]protocol.Instant{},
-		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{}, deadAt: map[bk.Run]protocol.Instant{},
-		handing: map[protocol.MachineID]bool{}, holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
+		spot: map[priceKey]*Threshold{}, peers: map[protocol.Member]peer{}, strayed: map[protocol.MachineID]stray{},
+		ownership: newOwnership(), holding: map[protocol.MachineID]bool{}, adopting: map[protocol.MachineID]bool{}, assignedAt: map[assignment]protocol.Instant{},
 	}
 	c.replica.Changed = c.onChanged
 	c.upgrade.readers = map[protocol.Member]bool{}
@@ -222,6 +219,10 @@
 	case DoResult:
 		c.stirred = true
 		c.onDo(v)
+	case MoveRequest:
+		c.onMoveRequest(v)
+	case SharesRequest:
+		c.onSharesRequest(v)
 	case HintInput:
 		c.onHint(v.Hint)
 	case Tick:
@@ -249,7 +250,7 @@
 				continue // a late copy of a report that has been here
 			}
 			m.handTo, m.handAt = h.Run, c.now.Steady
-			c.handing[s.Machine] = true
+			c.ownership.handing[s.Machine] = true
 		}
 	}
 }
@@ -307,7 +308,7 @@
 		if c.registered() {
 			h.Run = c.run
 			c.withdrawalHint(&h)
-			h.Fit = c.strainAt == 0 && (c.gaveAt == 0 || c.since(c.gaveAt) > time.Minute)
+			h.Fit = c.fit()
 			for _, id := range sorted(c.strayed) {
 				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
 					h.Seen = append(h.Seen, Seen{id, s.session, s.tally})
--- a/internal/coordination/io.go
+++ b/internal/coordination/io.go
@@ -240,6 +240,8 @@
 	SpotCheck    time.Duration
 	SpotCap      int
 	BalanceGap   time.Duration // least time between pages given to controllers that have fewer
+	RecordMoves  bool          // pages come to rest before they are given, and moves are on record
+	MoveByDemand float64       // part of a controller's share of the machines that follows the demand of its jobs
 	AgeAfter     time.Duration // a job that has not begun by then goes before all others
 	SpotLoss     float64       // reclaims an hour that a machine is reckoned with
 	RentalCap    int
--- /dev/null
+++ b/internal/coordination/move_requests.go
@@ -0,0 +1,271 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+	"tillerarch/internal/shares"
+)
+
+// MoveRequest asks for a page to be moved, or for a move to be aborted. It is answered
+// once it is on record, with the move as it is there; asked again under the same name it
+// does nothing more.
+type MoveRequest struct {
+	Req   ReqID
+	Name  string          // of the move
+	Abort bool            // end the move of that name instead
+	Page  bk.PageID       // which page; or
+	Of    protocol.Member // any one of this controller's
+	To    protocol.Member
+}
+
+// MoveReply answers a MoveRequest.
+type MoveReply struct {
+	Req  ReqID
+	Move bk.MoveRecord
+	Err  error
+}
+
+// SharesRequest asks who owns which machines, and which moves there are.
+type SharesRequest struct{ Req ReqID }
+
+// SharesReply answers a SharesRequest from one revision of the records.
+type SharesReply struct {
+	Req      ReqID
+	Revision protocol.Rev
+	Stale    bool // the state service may have gone on without this controller
+	Members  []ControllerShare
+	Pages    []PageShare
+	Moves    []bk.MoveRecord
+	Plan     []shares.Move // what this controller would begin now
+}
+
+// ControllerShare is what a controller owns.
+type ControllerShare struct {
+	Member   protocol.Member
+	Run      bk.Run
+	Pages    int
+	Machines int
+	Moves    bool // its version takes part in moves on record
+}
+
+// PageShare is a page with its owner.
+type PageShare struct {
+	Page     bk.PageID
+	Owner    bk.Run
+	Epoch    bk.Epoch
+	Machines int
+	Tasks    int
+}
+
+// RequestError is why a request of an operator is refused.
+type RequestError struct {
+	Reason    string
+	Transient bool // it may be asked again as it is
+}
+
+func (e *RequestError) Error() string { return e.Reason }
+
+func refusal(format string, args ...any) *RequestError {
+	return &RequestError{Reason: fmt.Sprintf(format, args...)}
+}
+
+func transient(reason string) *RequestError { return &RequestError{Reason: reason, Transient: true} }
+
+// noPart refuses a move from or to a controller that would not act on its record.
+func noPart(member protocol.Member) *RequestError {
+	return refusal("controller %q runs a version, or with settings, that take no part in moves on record", member)
+}
+
+// moveRequest is a request that is not on record yet.
+type moveRequest struct {
+	MoveRequest
+	at protocol.Instant
+}
+
+// onMoveRequest takes a request in. What can be refused from the records is refused at once.
+func (c *Core) onMoveRequest(v MoveRequest) {
+	if err := c.checkMoveRequest(&v); err != nil {
+		c.emit(MoveReply{Req: v.Req, Err: err})
+		return
+	}
+	c.ownership.requests = append(c.ownership.requests, &moveRequest{v, c.now.Steady})
+	c.stirred = true
+}
+
+func (c *Core) checkMoveRequest(v *MoveRequest) *RequestError {
+	switch {
+	case c.stateDown() || !c.registered():
+		return transient("this controller does not reach the state service")
+	case len(c.ownership.requests) >= maxRequests:
+		return transient("too many requests wait to be written")
+	case v.Name == "" || len(v.Name) > 100:
+		return refusal("a move needs a name of 1 to 100 bytes")
+	}
+	if v.Abort || c.moveNamed(v.Name) != nil {
+		return nil
+	}
+	if !c.cfg.RecordMoves {
+		return refusal("moves are not on record here: moves.recorded is off")
+	}
+	if v.Of != "" && c.replica.Members[v.Of] == nil {
+		return refusal("no controller %q is up", v.Of)
+	}
+	taker := c.replica.Members[v.To]
+	switch {
+	case taker == nil:
+		return refusal("no controller %q is up", v.To)
+	case v.Page != "" && c.replica.Pages[v.Page] == nil:
+		return refusal("no page %q", v.Page)
+	case v.Page == "" && v.Of == "":
+		return refusal("neither a page nor a controller to take one from is named")
+	}
+	return nil
+}
+
+// moveNamed gives the newest move of a name.
+func (c *Core) moveNamed(name string) *bk.Entry[bk.MoveRecord] {
+	var newest *bk.Entry[bk.MoveRecord]
+	for _, e := range c.replica.Moves {
+		if e.Rec.Name == name && (newest == nil || e.Stamp > newest.Stamp) {
+			newest = e
+		}
+	}
+	return newest
+}
+
+// writeMoveRequests puts operators' requests on record; each is answered once it is there.
+func (c *Core) writeMoveRequests(b *batch) {
+	c.ownership.requests = slices.DeleteFunc(c.ownership.requests, func(r *moveRequest) bool {
+		move, done, err := c.writeMoveRequest(b, r)
+		if err == nil && !done && c.since(r.at) > requestWait {
+			err = transient("it could not be written in time; ask again under the same name")
+		}
+		if err != nil {
+			c.emit(MoveReply{Req: r.Req, Err: err})
+		} else if done {
+			c.emit(MoveReply{Req: r.Req, Move: move})
+		}
+		return done || err != nil
+	})
+}
+
+// writeMoveRequest writes one request. done: it is on record.
+func (c *Core) writeMoveRequest(b *batch, r *moveRequest) (move bk.MoveRecord, done bool, err *RequestError) {
+	if e := c.moveNamed(r.Name); e != nil {
+		if !r.Abort || e.Rec.Phase == bk.MoveAborted {
+			return e.Rec, true, nil
+		}
+		if !e.Rec.Phase.Pending() {
+			return e.Rec, false, refusal("the move is %s already", e.Rec.Phase)
+		}
+		c.abortMove(b, r.Name)
+		return e.Rec, false, nil
+	}
+	if r.Abort {
+		return move, false, refusal("no move %q", r.Name)
+	}
+	page, err := c.requestedPage(r)
+	if err != nil {
+		return move, false, err
+	}
+	taker := c.replica.Members[r.To]
+	if taker == nil {
+		return move, false, refusal("controller %q has ended", r.To)
+	}
+	from := c.replica.Pages[page].Owner
+	for _, member := range []protocol.Member{from.Member(), r.To} {
+		if !c.replica.Members[member].Rec.Moves {
+			return move, false, noPart(member)
+		}
+	}
+	if b.hasRoom(1) {
+		c.openMove(b, shares.Move{Page: page, From: from, To: taker.Rec.Run}, bk.MoveProposed, "asked for by the operator", r.Name)
+	}
+	return move, false, nil
+}
+
+// abortMove writes the end of a pending move.
+func (c *Core) abortMove(b *batch, name string) {
+	for _, slot := range sorted(c.replica.Moves) {
+		e := c.replica.Moves[slot]
+		if e.Rec.Name == name && e.Rec.Phase.Pending() && b.moves[slot] == nil {
+			c.stepMove(b, slot, shares.Step{Phase: bk.MoveAborted, Why: shares.WhyOperator})
+		}
+	}
+}
+
+// requestedPage is the page that a request means: the one it names, or one of the
+// controller that it names with the fewest machines.
+func (c *Core) requestedPage(r *moveRequest) (bk.PageID, *RequestError) {
+	if r.Page == "" {
+		return c.smallestPage(r)
+	}
+	page := c.replica.Pages[r.Page]
+	switch {
+	case page == nil:
+		return "", refusal("no page %q", r.Page)
+	case !c.replica.Alive(page.Owner):
+		return "", transient("the page's owner has ended; another controller takes it over")
+	case page.Owner.Member() == r.To:
+		return "", refusal("the page is %q's already", r.To)
+	}
+	if _, move := c.replica.MoveOf(r.Page); move != nil {
+		return "", transient(fmt.Sprintf("the page is on its way with move %q", move.Rec.Name))
+	}
+	return r.Page, nil
+}
+
+func (c *Core) smallestPage(r *moveRequest) (best bk.PageID, err *RequestError) {
+	if r.Of == r.To {
+		return "", refusal("giver and taker are the same")
+	}
+	for _, id := range sorted(c.replica.Pages) {
+		page := c.replica.Pages[id]
+		if _, move := c.replica.MoveOf(id); move != nil || page.Owner.Member() != r.Of || !c.replica.Alive(page.Owner) {
+			continue
+		}
+		if best == "" || len(page.Machines) < len(c.replica.Pages[best].Machines) {
+			best = id
+		}
+	}
+	if best == "" {
+		return "", transient(fmt.Sprintf("%q has no page that could move", r.Of))
+	}
+	return best, nil
+}
+
+// onSharesRequest tells who owns what, as of the replica's revision.
+func (c *Core) onSharesRequest(v SharesRequest) {
+	reply := SharesReply{Req: v.Req, Revision: c.replica.Rev, Stale: !c.fresh()}
+	pages, machines := map[bk.Run]int{}, map[bk.Run]int{}
+	for _, id := range sorted(c.replica.Pages) {
+		p := c.replica.Pages[id]
+		share := PageShare{Page: id, Owner: p.Owner, Epoch: p.Epoch, Machines: len(p.Machines)}
+		for _, mid := range p.Machines {
+			if e := c.replica.Machines[mid]; e != nil {
+				for i := range e.Rec.Assigned {
+					share.Tasks += e.Rec.Assigned[i].Tasks.Len()
+				}
+			}
+		}
+		reply.Pages = append(reply.Pages, share)
+		pages[p.Owner]++
+		machines[p.Owner] += len(p.Machines)
+	}
+	for _, member := range sorted(c.replica.Members) {
+		rec := c.replica.Members[member].Rec
+		reply.Members = append(reply.Members, ControllerShare{Member: member, Run: rec.Run, Pages: pages[rec.Run],
+			Machines: machines[rec.Run], Moves: rec.Moves})
+	}
+	for _, slot := range sorted(c.replica.Moves) {
+		reply.Moves = append(reply.Moves, c.replica.Moves[slot].Rec)
+	}
+	if c.registered() {
+		policy := shares.Policy{MaxMoves: 2 * maxArriving, MaxArriving: maxArriving, ByDemand: c.cfg.MoveByDemand}
+		reply.Plan = shares.Plan(c.shareSnapshot(c.strained()), policy)
+	}
+	c.emit(reply)
+}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -171,7 +171,7 @@
 		if j.end-j.next > 8 {
 			return
 		}
-	} else if at, dead := c.deadAt[q.rec.Claim]; !dead || c.since(at) < 500*time.Millisecond ||
+	} else if at, dead := c.ownership.deadAt[q.rec.Claim]; !dead || c.since(at) < 500*time.Millisecond ||
 		!c.heir(bk.JobKey(q.id)) && c.since(at) < 10*time.Second {
 		return
 	}
--- a/internal/coordination/rentals.go
+++ b/internal/coordination/rentals.go
@@ -9,6 +9,7 @@
 
 	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
+	"tillerarch/internal/shares"
 )
 
 // poolKey names the machines of one type, zone and kind: the cloud runs out of each
@@ -205,7 +206,9 @@
 	return out
 }
 
-func (c *Core) zonePreference(p pool) uint64 { return weight(string(c.cfg.Member), string(p.key.zone)) }
+func (c *Core) zonePreference(p pool) uint64 {
+	return shares.Weight(string(c.cfg.Member), string(p.key.zone))
+}
 
 // machineFits tells how many tasks of a job an empty machine of a type takes.
 func machineFits(f *protocol.Flavor, j *protocol.Job) int {
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -81,6 +81,7 @@
 	for i := range c.flavors {
 		flavors[c.flavors[i].Sku] = &c.flavors[i]
 	}
+	resting := c.restingPages()
 	orders := map[*protocol.Job]int{}
 	for _, e := range list {
 		id, rec := e.ID, &e.Rec
@@ -95,7 +96,7 @@
 			continue
 		}
 		r := &room{id: id, m: c.machines[id], rec: rec, fl: fl, cores: fl.Cores, accels: fl.Accelerators, mem: fl.MemGB, coming: rec.Session == 0}
-		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner] || c.releasing[id] != nil
+		r.closed = rec.Releasing || rec.Drain || !alive[rec.Owner] || resting[rec.Page] || c.releasing[id] != nil
 		for i := range rec.Assigned {
 			a := &rec.Assigned[i]
 			j := b.viewJob(a.Job)
--- a/internal/coordination/spot.go
+++ b/internal/coordination/spot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tillerarch/internal/protocol"
+	"tillerarch/internal/shares"
 )
 
 type priceKey struct {
@@ -66,6 +67,6 @@
 	if period <= 0 || margin <= 0 || age < 0 {
 		return false
 	}
-	session := time.Duration(weight("period", string(id)) % uint64(period))
+	session := time.Duration(shares.Weight("period", string(id)) % uint64(period))
 	return period-(age+session)%period < margin
 }
--- /dev/null
+++ b/internal/standin/history.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/protocol"
+)
+
+// History checks, at every revision of the state service, that each machine on record is
+// on one page with one owner, that a new owner lives and has a token above all before it,
+// and that moves take their phases in order. It reads the records by themselves, not by
+// way of a controller's replica.
+type History struct {
+	Broken    func(string) // is told of what is wrong
+	Revisions int
+	Passed    int // pages that went from one living owner to another by a move
+	Closed    int // moves that came to their end
+	Aborted   map[string]int
+	Held      []time.Duration // how long pages took no new task
+	Took      []time.Duration // how long moves took from their begin to their end
+	Puts      int             // writes of moves' records
+
+	pages  map[bk.PageID]bk.Listing
+	on     map[protocol.MachineID]map[bk.PageID]bool
+	tenure map[protocol.MachineID]bk.Listing // of each machine: its newest owner and epoch
+	moves  map[string]bk.MoveRecord
+	living map[string]bk.Run // by the key of the controller
+}
+
+// NewHistory makes a checker of a store that is empty.
+func NewHistory(broken func(string)) *History {
+	return &History{Broken: broken, Aborted: map[string]int{}, pages: map[bk.PageID]bk.Listing{}, on: map[protocol.MachineID]map[bk.PageID]bool{},
+		tenure: map[protocol.MachineID]bk.Listing{}, moves: map[string]bk.MoveRecord{}, living: map[string]bk.Run{}}
+}
+
+func (h *History) broken(rev protocol.Rev, format string, args ...any) {
+	h.Broken(fmt.Sprintf("revision %d: ", rev) + fmt.Sprintf(format, args...))
+}
+
+// Apply takes in all changes of one revision.
+func (h *History) Apply(rev protocol.Rev, changes []protocol.News) {
+	h.Revisions++
+	before := map[bk.PageID]bk.Listing{}
+	touched := map[protocol.MachineID]bool{}
+	var moved []bk.MoveRecord
+	for _, change := range changes {
+		key := change.Put + change.Delete
+		if strings.HasPrefix(key, bk.MemberKey("")) {
+			h.setMember(rev, key, change.Data)
+		} else if id, ok := strings.CutPrefix(key, bk.PageKey("")); ok {
+			before[bk.PageID(id)] = h.pages[bk.PageID(id)]
+			h.setPage(rev, bk.PageID(id), change.Data, touched)
+		} else if strings.HasPrefix(change.Put, bk.MoveKey("")) {
+			if record, ok := h.setMove(rev, change.Put, change.Data); ok {
+				moved = append(moved, record)
+			}
+		}
+	}
+	for id := range touched {
+		h.checkMachine(rev, id)
+	}
+	for _, record := range moved {
+		h.checkTransfer(rev, record, before)
+	}
+}
+
+// setMember notes which run of a controller lives; data is empty where its lease has ended.
+func (h *History) setMember(rev protocol.Rev, key string, data json.RawMessage) {
+	delete(h.living, key)
+	if len(data) == 0 {
+		return
+	}
+	var record bk.MemberRecord
+	if err := json.Unmarshal(data, &record); err != nil {
+		h.broken(rev, "controller %s can't be read: %v", key, err)
+		return
+	}
+	h.living[key] = record.Run
+}
+
+// setPage replaces what a page lists; data is empty where it is deleted.
+func (h *History) setPage(rev protocol.Rev, id bk.PageID, data json.RawMessage, touched map[protocol.MachineID]bool) {
+	for _, m := range h.pages[id].Machines {
+		touched[m] = true
+		delete(h.on[m], id)
+	}
+	delete(h.pages, id)
+	if len(data) == 0 {
+		return
+	}
+	page, err := bk.ReadListing(data)
+	if err != nil {
+		h.broken(rev, "page %s can't be read: %v", id, err)
+		return
+	}
+	h.pages[id] = page
+	for _, m := range page.Machines {
+		touched[m] = true
+		if h.on[m] == nil {
+			h.on[m] = map[bk.PageID]bool{}
+		}
+		h.on[m][id] = true
+	}
+}
+
+// checkMachine checks who owns a machine behind a revision.
+func (h *History) checkMachine(rev protocol.Rev, id protocol.MachineID) {
+	if len(h.on[id]) > 1 {
+		h.broken(rev, "machine %s is on %d pages", id, len(h.on[id]))
+		return
+	}
+	for page := range h.on[id] {
+		now, last := h.pages[page], h.tenure[id]
+		switch {
+		case now.Owner != last.Owner && h.living[bk.MemberKey(now.Owner.Member())] != now.Owner:
+			h.broken(rev, "machine %s goes to %s, which has ended", id, now.Owner)
+		case last.Owner == "":
+		case now.Owner != last.Owner && now.Epoch <= last.Epoch:
+			h.broken(rev, "machine %s goes from %s to %s without a higher token: %d, %d", id, last.Owner, now.Owner, last.Epoch, now.Epoch)
+		case now.Epoch < last.Epoch:
+			h.broken(rev, "the token of machine %s falls from %d to %d", id, last.Epoch, now.Epoch)
+		}
+		h.tenure[id] = bk.Listing{Owner: now.Owner, Epoch: now.Epoch}
+	}
+}
+
+// setMove takes in a move's record, and checks the order of its phases.
+func (h *History) setMove(rev protocol.Rev, key string, data json.RawMessage) (record bk.MoveRecord, ok bool) {
+	h.Puts++
+	if err := json.Unmarshal(data, &record); err != nil {
+		h.broken(rev, "move %s can't be read: %v", key, err)
+		return record, false
+	}
+	last, known := h.moves[key]
+	if !known {
+		last.Phase = bk.MoveClosed
+	}
+	h.moves[key] = record
+	if !record.Phase.Follows(last.Phase) || record.Name != last.Name && last.Phase.Open() {
+		h.broken(rev, "move %s %q goes from %s to %s", key, record.Name, last.Phase, record.Phase)
+	}
+	switch record.Phase {
+	case bk.MoveClosed:
+		h.Closed++
+		h.Took = append(h.Took, time.Duration(record.Ended-record.Begun)*time.Millisecond)
+		h.Held = append(h.Held, time.Duration(record.Passed-record.Held)*time.Millisecond)
+	case bk.MoveAborted:
+		h.Aborted[record.Why]++
+	}
+	return record, true
+}
+
+// checkTransfer checks that a move and its page change together.
+func (h *History) checkTransfer(rev protocol.Rev, record bk.MoveRecord, before map[bk.PageID]bk.Listing) {
+	if record.Phase != bk.MoveTransferred {
+		return
+	}
+	old, changed := before[record.Page]
+	if !changed || old.Owner != record.From || h.pages[record.Page].Owner != record.To {
+		h.broken(rev, "move %q is transferred, its page went from %q to %q", record.Name, old.Owner, h.pages[record.Page].Owner)
+		return
+	}
+	for _, m := range old.Machines {
+		if len(h.on[m]) == 0 {
+			h.broken(rev, "machine %s left the records with move %q", m, record.Name)
+		}
+	}
+	h.Passed++
+}
+
+// Open lists the moves that are not at their end.
+func (h *History) Open() (names []string) {
+	for _, record := range h.moves {
+		if record.Phase.Open() {
+			names = append(names, fmt.Sprintf("%s %s %s", record.Name, record.Page, record.Phase))
+		}
+	}
+	return names
+}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
 )
 
@@ -18,10 +19,17 @@
 	Broken  []string
 	Started int
 
-	jobs map[protocol.JobID]*ruleJob
-	on   map[protocol.Task]place // one of the places where a task is
-	n    map[protocol.Task]int   // and at how many
-	hung map[protocol.Task]place // tasks that their leases ended on machines that hang: they may no longer go on, and nobody has seen them go
+	jobs      map[protocol.JobID]*ruleJob
+	on        map[protocol.Task]place // one of the places where a task is
+	n         map[protocol.Task]int   // and at how many
+	commander map[tenure]string       // who commanded a machine under an epoch
+	hung      map[protocol.Task]place // tasks that their leases ended on machines that hang: they may no longer go on, and nobody has seen them go
+}
+
+// tenure is the time of a machine under one epoch of its owner.
+type tenure struct {
+	machine protocol.MachineID
+	epoch   bk.Epoch
 }
 
 type place struct {
@@ -47,7 +55,7 @@
 // NewRules makes a checker.
 func NewRules(cancel time.Duration) *Rules {
 	return &Rules{Cancel: cancel, Limits: map[string]float64{}, jobs: map[protocol.JobID]*ruleJob{},
-		on: map[protocol.Task]place{}, n: map[protocol.Task]int{}, hung: map[protocol.Task]place{}}
+		on: map[protocol.Task]place{}, n: map[protocol.Task]int{}, hung: map[protocol.Task]place{}, commander: map[tenure]string{}}
 }
 
 func (r *Rules) broken(rule, format string, args ...any) {
@@ -63,6 +71,16 @@
 	return j
 }
 
+// Commanded notes whose answer a worker has taken under a token: nobody else's may come
+// under the same epoch.
+func (r *Rules) Commanded(m protocol.MachineID, token protocol.FencingToken, by string) {
+	at := tenure{m, bk.EpochOf(token)}
+	if other, ok := r.commander[at]; ok && other != by {
+		r.broken("two_commanders", "%s takes commands of %s and of %s in epoch %d", m, other, by, at.epoch)
+	}
+	r.commander[at] = by
+}
+
 // Submitted notes that a user sends a job.
 func (r *Rules) Submitted(now time.Duration, d *protocol.Job) {
 	j := r.job(d.UID)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,6 +40,8 @@
 	nextID protocol.LeaseID
 	log    []protocol.News
 	kept   int // changes that /follow still has
+
+	Observe func(protocol.Rev, []protocol.News) // is told of each revision, if it is not nil
 }
 
 // NewState makes an empty store that keeps the given number of changes.
@@ -67,7 +69,9 @@
 			if s.items[k].hold == id {
 				s.rev++
 				delete(s.items, k)
-				s.note(protocol.News{Delete: k, Stamp: protocol.Stamp(s.rev)})
+				gone := protocol.News{Delete: k, Stamp: protocol.Stamp(s.rev)}
+				s.note(gone)
+				s.observed([]protocol.News{gone})
 			}
 		}
 	}
@@ -80,6 +84,12 @@
 	}
 }
 
+func (s *State) observed(news []protocol.News) {
+	if s.Observe != nil && len(news) > 0 {
+		s.Observe(s.rev, news)
+	}
+}
+
 // Multi carries out a transaction: status and answer.
 func (s *State) Multi(m protocol.Multi) (int, protocol.MultiAnswer) {
 	if s.Down {
@@ -119,15 +129,18 @@
 		return 409, protocol.MultiAnswer{Failed: failed, Rev: s.rev}
 	}
 	s.rev++
+	var news []protocol.News
 	for _, t := range m.Then {
+		change := protocol.News{Put: t.Put, Delete: t.Delete, Data: t.Data, Stamp: protocol.Stamp(s.rev)}
 		if t.Put != "" {
 			s.items[t.Put] = item{t.Data, protocol.Stamp(s.rev), t.Tenancy}
-			s.note(protocol.News{Put: t.Put, Data: t.Data, Stamp: protocol.Stamp(s.rev)})
 		} else {
 			delete(s.items, t.Delete)
-			s.note(protocol.News{Delete: t.Delete, Stamp: protocol.Stamp(s.rev)})
 		}
+		s.note(change)
+		news = append(news, change)
 	}
+	s.observed(news)
 	return 200, protocol.MultiAnswer{Rev: s.rev}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -235,7 +235,7 @@
 	seq, sent, shift := m.seq, w.Now, m.shift
 	n := w.Nodes[m.node%len(w.Nodes)]
 	body := m.body()
-	w.toNode(n, m, body, func(status int, ans []byte) {
+	w.toNode(n, m, body, func(a answer) {
 		if m.hung && w.Now-sent < 4*time.Second {
 			m.dueAt = w.Now + time.Second // a worker drops what it reads too late
 		}
@@ -243,24 +243,25 @@
 			return
 		}
 		m.waiting = false
-		m.answer(n, sent, status, ans)
+		m.answer(n, sent, a)
 	})
 }
 
-func (m *Worker) answer(n *Node, sent time.Duration, status int, ans []byte) {
+func (m *Worker) answer(n *Node, sent time.Duration, a answer) {
 	w := m.w
-	switch status {
+	switch a.status {
 	case 200:
 		var o protocol.Orders
-		if json.Unmarshal(ans, &o) != nil || o.FencingToken == 0 || o.FencingToken < m.token {
+		if json.Unmarshal(a.body, &o) != nil || o.FencingToken == 0 || o.FencingToken < m.token {
 			return
 		}
+		w.Rules.Commanded(m.ID, o.FencingToken, a.by)
 		m.raise(o.FencingToken)
 		m.leased = max(m.leased, sent)
 		m.obey(o.Orders)
 	case 421:
 		var f protocol.Redirect
-		json.Unmarshal(ans, &f)
+		json.Unmarshal(a.body, &f)
 		for i, o := range w.Nodes {
 			if o.Member == f.Redirect && o != n {
 				m.node = i
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -55,6 +55,8 @@
 	drift    float64
 	reqs     map[coordination.ReqID]func(int, []byte)
 	nextReq  coordination.ReqID
+
+	moveReplies map[coordination.ReqID]func(coordination.MoveReply)
 }
 
 // World is a whole deployment in simulated time.
@@ -62,6 +64,7 @@
 	Now      time.Duration
 	Rng      *rand.Rand
 	State    *State
+	History  *History
 	Rules    *Rules
 	Nodes    []*Node
 	Workers  map[protocol.MachineID]*Worker
@@ -104,6 +107,8 @@
 		Workers: map[protocol.MachineID]*Worker{}, Jobs: map[protocol.JobID]*protocol.Job{}, Flavors: flavors,
 		Report: 2 * time.Second, Lease: 14 * time.Second, Fetch: time.Second, GangWait: 20 * time.Second, hires: map[string][]protocol.MachineID{},
 		Zone: map[protocol.Zone]*Node{}, Done: map[protocol.JobID]bool{}, Saved: map[protocol.JobID]int{}}
+	w.History = NewHistory(func(what string) { w.Rules.broken("ownership", "%s", what) })
+	w.State.Observe = w.History.Apply
 	for name, t := range teams {
 		w.Rules.Limits[name] = t.CoresMax
 	}
@@ -173,6 +178,7 @@
 	n.life++
 	n.started = n.w.Now
 	n.reqs = map[coordination.ReqID]func(int, []byte){}
+	n.moveReplies = map[coordination.ReqID]func(coordination.MoveReply){}
 	cfg := n.w.Config
 	cfg.Member = n.Member
 	for _, o := range n.w.Nodes {
@@ -182,6 +188,7 @@
 	}
 	if n.Old {
 		cfg.NextLimits = nil
+		cfg.RecordMoves = false
 	}
 	cfg.Seed = uint64(n.life)
 	n.Core = coordination.New(cfg, n.time())
@@ -259,6 +266,11 @@
 		if f != nil {
 			f(v.Status, v.Body)
 		}
+	case coordination.MoveReply:
+		if f := n.moveReplies[v.Req]; f != nil {
+			delete(n.moveReplies, v.Req)
+			f(v)
+		}
 	case coordination.Log:
 		if w.Trace != nil {
 			w.Trace(fmt.Sprintf("%8.3f %s %s %v", w.Now.Seconds(), n.Member, v.Msg, v.Args))
@@ -492,8 +504,15 @@
 	return out
 }
 
+// answer is what a controller answers a report; by says which process it was.
+type answer struct {
+	status int
+	body   []byte
+	by     string
+}
+
 // toNode brings a worker's report to a controller and the answer back.
-func (w *World) toNode(n *Node, m *Worker, body []byte, back func(int, []byte)) {
+func (w *World) toNode(n *Node, m *Worker, body []byte, back func(answer)) {
 	if w.Copies > 0 && w.Rng.Float64() < w.Copies {
 		o := w.Nodes[w.Rng.IntN(len(w.Nodes))]
 		w.At(time.Duration(500+w.Rng.IntN(40000))*time.Millisecond, func() { // from seconds to well over a lease
@@ -514,14 +533,15 @@
 	}
 	w.At(d, func() {
 		if !n.Alive {
-			w.At(w.delay(), func() { back(0, nil) })
+			w.At(w.delay(), func() { back(answer{}) })
 			return
 		}
 		n.Report(body, func(status int, b []byte) {
 			if m.Cut || m.Mute || m.Deaf || n.NoWorker || w.apart(n, m) || w.Rng.Float64() < w.Drop {
 				return
 			}
-			w.At(w.delay(), func() { back(status, b) })
+			a := answer{status, b, fmt.Sprintf("%s, life %d", n.Member, n.life)}
+			w.At(w.delay(), func() { back(a) })
 		})
 	})
 }
@@ -537,6 +557,17 @@
 	n.step(in(n.nextReq))
 }
 
+// Move asks a controller, as an operator does, to move or abort a move of a page.
+func (n *Node) Move(request coordination.MoveRequest, tell func(coordination.MoveReply)) {
+	if !n.Alive {
+		return
+	}
+	n.nextReq++
+	request.Req = n.nextReq
+	n.moveReplies[request.Req] = tell
+	n.step(request)
+}
+
 // balance picks a controller as the load balancer does: a healthy one if there is one.
 func (w *World) balance() *Node {
 	var healthy []*Node
