Operators' base: shares list, plan, move, abort, history over gRPC; moves proven on loopback

Operators could not see or ask who owns which machines. Change: internal/admin (gRPC on a loopback address, off unless admin.listen is set), tillerarch shares with exit codes, moves.recorded and moves.by-demand as properties. internal/loopback plays controllers as real processes against the stand-in world over HTTP; controllers are killed, frozen, restarted and cut off while pages move.

--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -31,8 +31,16 @@
 
 // message is an input with the request it came from, if any.
 type message struct {
-	in coordination.Input
-	x  *transport.Exchange
+	in       coordination.Input
+	x        *transport.Exchange
+	operator *operatorRequest
+}
+
+// operatorRequest is a request of an operator's tool: the input is made once it has its
+// number, and the answer is sent to who waits for it.
+type operatorRequest struct {
+	input  func(coordination.ReqID) coordination.Input
+	answer chan<- coordination.Effect
 }
 
 // daemon ties the core to the world: it feeds the core inputs one at a time
@@ -51,6 +59,7 @@
 	}
 	start   time.Time
 	waiting map[coordination.ReqID]*transport.Exchange
+	asking  map[coordination.ReqID]chan<- coordination.Effect // operators' tools that wait
 	nextReq coordination.ReqID
 	healthy atomic.Bool
 	stepped atomic.Int64 // unix nanoseconds of the last step
@@ -66,7 +75,7 @@
 	perNode := func(rps float64) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(rps/nodes), max(int(rps/nodes), 2))
 	}
-	d := &daemon{s: s, in: make(chan message, queueLength), start: time.Now(), waiting: map[coordination.ReqID]*transport.Exchange{}}
+	d := &daemon{s: s, in: make(chan message, queueLength), start: time.Now(), waiting: map[coordination.ReqID]*transport.Exchange{}, asking: map[coordination.ReqID]chan<- coordination.Effect{}}
 	d.workers.clients = map[string]*transport.Client{}
 	stateTokens := perNode(s.stateRPS)
 	d.state = &bookkeeping.State{
@@ -95,6 +104,9 @@
 	failed := make(chan error, 1)
 	go func() { failed <- d.server.Run() }()
 	go d.loop()
+	if s.adminListen != "" {
+		go d.serveOperators(s.adminListen)
+	}
 	slog.Info("started", "version", version, "member", string(s.core.Member), "listen", s.listen)
 	return fmt.Errorf("listen %s: %w", s.listen, <-failed)
 }
@@ -133,7 +145,7 @@
 	case protocol.PathReport:
 		if r.Method != "POST" {
 			d.refuse(x, 405, "method not allowed")
-		} else if !d.offer(message{coordination.ReportInput{Body: r.Body}, x}) {
+		} else if !d.offer(message{in: coordination.ReportInput{Body: r.Body}, x: x}) {
 			d.refuse(x, 503, "overloaded")
 		}
 		return
@@ -144,7 +156,7 @@
 		d.refuse(x, 404, "no such path")
 	case !allowed:
 		d.refuse(x, 405, "method not allowed")
-	case !d.offer(message{coordination.UserInput{Verb: verb, Job: id, Body: r.Body}, x}):
+	case !d.offer(message{in: coordination.UserInput{Verb: verb, Job: id, Body: r.Body}, x: x}):
 		d.server.Reply(x, 503, 2, []byte(`{"error":"overloaded"}`))
 	}
 }
@@ -174,6 +186,11 @@
 				m.in = v
 			}
 		}
+		if m.operator != nil {
+			d.nextReq++
+			d.asking[d.nextReq] = m.operator.answer
+			m.in = m.operator.input(d.nextReq)
+		}
 		for _, e := range d.core.Step(d.now(), m.in) {
 			d.carryOut(e)
 		}
@@ -189,6 +206,10 @@
 			delete(d.waiting, v.Req)
 			d.server.Reply(x, v.Status, v.RetryAfter, v.Body)
 		}
+	case coordination.MoveReply:
+		d.answerOperator(v.Req, v)
+	case coordination.SharesReply:
+		d.answerOperator(v.Req, v)
 	case coordination.Log:
 		slog.Log(context.Background(), v.Level, v.Msg, v.Args...)
 	case coordination.SendHint:
@@ -202,6 +223,14 @@
 	}
 }
 
+// answerOperator sends an answer to the tool that waits for it, which may have gone.
+func (d *daemon) answerOperator(id coordination.ReqID, e coordination.Effect) {
+	if answer := d.asking[id]; answer != nil {
+		delete(d.asking, id)
+		answer <- e // it has room for the one answer
+	}
+}
+
 // call carries out an effect that waits for an answer.
 func (d *daemon) call(e coordination.Effect) {
 	switch v := e.(type) {
--- a/cmd/tillerarch/main.go
+++ b/cmd/tillerarch/main.go
@@ -40,9 +40,11 @@
 	}
 	root.Flags().StringVar(&configFile, "config", "", "settings file of the platform (TOML)")
 	root.Flags().StringVar(&propertiesFile, "properties", os.Getenv("TILLERARCH_PROPERTIES"), "operators' own settings (Java-style properties, optional)")
+	root.AddCommand(sharesCommand())
+	root.CompletionOptions.DisableDefaultCmd = true
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "tillerarch:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
--- /dev/null
+++ b/cmd/tillerarch/operators.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"tillerarch/internal/admin"
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
+)
+
+// operators answers the admin service by asking the core.
+type operators struct{ d *daemon }
+
+// serveOperators listens for operators' tools. A failure there does not end the daemon.
+func (d *daemon) serveOperators(address string) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		slog.Error("admin service is not there", "err", err)
+		return
+	}
+	slog.Info("admin service", "listen", listener.Addr().String())
+	err = admin.NewServer(operators{d}).Serve(admin.Limit(listener))
+	slog.Error("admin service has ended", "err", err)
+}
+
+// askCore hands the core a request of an operator, made for the number that it gets, and
+// waits for the answer.
+func (d *daemon) askCore(ctx context.Context, request func(coordination.ReqID) coordination.Input) (coordination.Effect, error) {
+	answer := make(chan coordination.Effect, 1)
+	if !d.offer(message{operator: &operatorRequest{request, answer}}) {
+		return nil, &admin.Refusal{Reason: "the controller is overloaded", Again: true}
+	}
+	select {
+	case e := <-answer:
+		return e, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Shares tells who owns which machines.
+func (o operators) Shares(ctx context.Context, _ *admin.SharesRequest) (*admin.Shares, error) {
+	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input { return coordination.SharesRequest{Req: id} })
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := e.(coordination.SharesReply)
+	if !ok {
+		return nil, fmt.Errorf("unexpected answer %T", e)
+	}
+	return sharesMessage(&reply), nil
+}
+
+// Move has a move put on record.
+func (o operators) Move(ctx context.Context, r *admin.MoveRequest) (*admin.Move, error) {
+	return o.move(ctx, coordination.MoveRequest{Name: r.Name, Page: bk.PageID(r.Page), Of: protocol.Member(r.From), To: protocol.Member(r.To)})
+}
+
+// Abort has the end of a move put on record.
+func (o operators) Abort(ctx context.Context, r *admin.AbortRequest) (*admin.Move, error) {
+	return o.move(ctx, coordination.MoveRequest{Name: r.Name, Abort: true})
+}
+
+func (o operators) move(ctx context.Context, request coordination.MoveRequest) (*admin.Move, error) {
+	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input {
+		request.Req = id
+		return request
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := e.(coordination.MoveReply)
+	if !ok {
+		return nil, fmt.Errorf("unexpected answer %T", e)
+	}
+	var refused *coordination.RequestError
+	if errors.As(reply.Err, &refused) {
+		return nil, &admin.Refusal{Reason: refused.Reason, Again: refused.Transient}
+	}
+	move := moveMessage(&reply.Move)
+	return &move, nil
+}
+
+func sharesMessage(r *coordination.SharesReply) *admin.Shares {
+	s := &admin.Shares{Revision: uint64(r.Revision), Stale: r.Stale}
+	for _, c := range r.Members {
+		s.Controllers = append(s.Controllers, admin.Controller{Member: string(c.Member), Run: string(c.Run), Pages: c.Pages, Machines: c.Machines, Moves: c.Moves})
+	}
+	for _, p := range r.Pages {
+		s.Pages = append(s.Pages, admin.Page{Page: string(p.Page), Owner: string(p.Owner), Epoch: uint64(p.Epoch), Machines: p.Machines, Tasks: p.Tasks})
+	}
+	for i := range r.Moves {
+		s.Moves = append(s.Moves, moveMessage(&r.Moves[i]))
+	}
+	for _, m := range r.Plan {
+		s.Plan = append(s.Plan, admin.Planned{Page: string(m.Page), From: string(m.From), To: string(m.To)})
+	}
+	return s
+}
+
+func moveMessage(m *bk.MoveRecord) admin.Move {
+	return admin.Move{Name: m.Name, Page: string(m.Page), From: string(m.From), To: string(m.To), Phase: string(m.Phase), Why: m.Why,
+		Machines: m.Machines, Begun: wall(m.Begun), Prepared: wall(m.Held), Passed: wall(m.Passed), Ended: wall(m.Ended)}
+}
+
+// wall is a time on record as a time of day; none stays none.
+func wall(at protocol.Millis) time.Time {
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(at)).UTC()
+}
--- a/cmd/tillerarch/settings.go
+++ b/cmd/tillerarch/settings.go
@@ -80,6 +80,7 @@
 	stateRPS, cloudRPS         float64
 	memoryMB                   float64
 	maxSockets                 int
+	adminListen                string // of the admin service; empty: there is none
 }
 
 func loadSettings(file, propsFile string) (*settings, error) {
@@ -93,12 +94,13 @@
 	if err := checkPlatform(&p); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
-	tuning := coordination.DefaultTuning()
+	own := ownSettings{Tuning: coordination.DefaultTuning()}
 	if propsFile != "" {
-		if err := loadProperties(propsFile, &tuning); err != nil {
+		if err := loadProperties(propsFile, &own); err != nil {
 			return nil, fmt.Errorf("%s: %w", propsFile, err)
 		}
 	}
+	s.adminListen = own.adminListen
 	h := fnv.New64a()
 	h.Write([]byte(p.Member))
 	w := p.Params.Workers
@@ -109,7 +111,7 @@
 		GangPeer: protocol.Seconds(w.GangPeerS), Cancel: protocol.Seconds(w.CancelS),
 		Peers: len(p.Members), WriteRPS: p.Params.State.WriteRPS, TxnOps: p.Params.State.TxnOps, ValueBytes: int(p.Params.State.ValueKB * 1024),
 		ListLag: protocol.Seconds(p.Params.Cloud.ListLagS), Seed: h.Sum64() ^ uint64(time.Now().UnixNano()),
-		FollowGap: time.Duration(n / (0.4 * s.stateRPS) * float64(time.Second)), Tuning: tuning,
+		FollowGap: time.Duration(n / (0.4 * s.stateRPS) * float64(time.Second)), Tuning: own.Tuning,
 	}
 	for _, m := range p.Members {
 		s.peers = append(s.peers, m.Addr)
@@ -228,8 +230,14 @@
 	return nil
 }
 
+// ownSettings are those that an operator may set in the properties file.
+type ownSettings struct {
+	coordination.Tuning
+	adminListen string
+}
+
 // loadProperties reads the operators' own settings over the defaults.
-func loadProperties(file string, t *coordination.Tuning) error {
+func loadProperties(file string, t *ownSettings) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return err
@@ -247,11 +255,15 @@
 		"age.after": &t.AgeAfter, "balance.gap": &t.BalanceGap,
 	}
 	num := map[string]*float64{"write.share": &t.WriteShare, "boot.factor": &t.BootFactor, "spot.loss": &t.SpotLoss, "idle.factor": &t.IdleFactor}
+	part := map[string]*float64{"moves.by-demand": &t.MoveByDemand}
+	toggle := map[string]*bool{"moves.recorded": &t.RecordMoves}
 	count := map[string]*int{"spot.cap": &t.SpotCap, "hire.cap": &t.RentalCap}
 	for _, k := range p.Keys() {
 		v, _ := p.Get(k)
 		var err error
-		if d := dur[k]; d != nil {
+		if k == "admin.listen" {
+			t.adminListen, err = v, checkLoopback(v)
+		} else if d := dur[k]; d != nil {
 			if *d, err = time.ParseDuration(v); err == nil && (*d < 0 || *d == 0 && k != "spot.margin") {
 				err = fmt.Errorf("%q is not above zero", v)
 			}
@@ -259,6 +271,14 @@
 			if *f, err = strconv.ParseFloat(v, 64); err == nil && !(*f > 0 && *f <= 100) {
 				err = fmt.Errorf("%q is not within 0 to 100", v)
 			}
+		} else if f := part[k]; f != nil {
+			if *f, err = strconv.ParseFloat(v, 64); err == nil && !(*f >= 0 && *f <= 1) {
+				err = fmt.Errorf("%q is not within 0 to 1", v)
+			}
+		} else if on := toggle[k]; on != nil {
+			if *on, err = strconv.ParseBool(v); err != nil {
+				err = fmt.Errorf("%q is neither true nor false", v)
+			}
 		} else if n := count[k]; n != nil {
 			if *n, err = strconv.Atoi(v); err == nil && *n < 0 {
 				err = fmt.Errorf("%q is below zero", v)
@@ -272,3 +292,16 @@
 	}
 	return nil
 }
+
+// checkLoopback refuses an address that others than this machine's users could reach: the
+// admin service knows no users.
+func checkLoopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is no address of the form IP:PORT", address)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%q is no loopback address", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admin/codec.go
@@ -0,0 +1,21 @@
+package admin
+
+import (
+	"encoding/json"
+
+	"google.golang.org/grpc/encoding"
+)
+
+// codecName is the content subtype of the service's messages.
+const codecName = "json"
+
+// jsonCodec encodes messages as JSON.
+type jsonCodec struct{}
+
+func (jsonCodec) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
+func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+func (jsonCodec) Name() string                       { return codecName }
+
+// registerCodec makes the codec known to gRPC. It is called by who serves or dials, so
+// that a process which does neither has nothing to set up.
+func registerCodec() { encoding.RegisterCodec(jsonCodec{}) }
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -324,6 +324,7 @@
 	}
 	c.tickAt = now.Add(200 * time.Millisecond)
 	c.tickRuns()
+	c.tickMoveRequests()
 	c.tickMachines()
 	c.lastResort()
 	c.tickCloud()
--- a/internal/coordination/move_requests.go
+++ b/internal/coordination/move_requests.go
@@ -140,9 +140,6 @@
 func (c *Core) writeMoveRequests(b *batch) {
 	c.ownership.requests = slices.DeleteFunc(c.ownership.requests, func(r *moveRequest) bool {
 		move, done, err := c.writeMoveRequest(b, r)
-		if err == nil && !done && c.since(r.at) > requestWait {
-			err = transient("it could not be written in time; ask again under the same name")
-		}
 		if err != nil {
 			c.emit(MoveReply{Req: r.Req, Err: err})
 		} else if done {
@@ -152,6 +149,18 @@
 	})
 }
 
+// tickMoveRequests gives up on requests that could not be written in time: what was sent
+// for them may still come on record, under their names.
+func (c *Core) tickMoveRequests() {
+	c.ownership.requests = slices.DeleteFunc(c.ownership.requests, func(r *moveRequest) bool {
+		late := c.since(r.at) > requestWait
+		if late {
+			c.emit(MoveReply{Req: r.Req, Err: transient("it could not be written in time; ask again under the same name")})
+		}
+		return late
+	})
+}
+
 // writeMoveRequest writes one request. done: it is on record.
 func (c *Core) writeMoveRequest(b *batch, r *moveRequest) (move bk.MoveRecord, done bool, err *RequestError) {
 	if e := c.moveNamed(r.Name); e != nil {
--- /dev/null
+++ b/internal/loopback/front.go
@@ -0,0 +1,328 @@
+// Package loopback plays a whole deployment on this machine's loopback: controllers are
+// real processes of the program, and the outside systems of package standin answer them
+// over HTTP, in real time. Tests kill, freeze and cut off controllers, and the checkers of
+// the stand-in world see all that the state service and the workers are told.
+package loopback
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tillerarch/internal/protocol"
+	"tillerarch/internal/standin"
+)
+
+// step is how often the world's time is brought up to the clock's.
+const step = 5 * time.Millisecond
+
+// Front serves a stand-in world over HTTP.
+type Front struct {
+	mu    sync.Mutex // guards the world
+	world *standin.World
+	begun time.Time
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	listeners []net.Listener
+	state     []string // the state service's address for each controller
+	cloud     string
+}
+
+// Do calls f with the world to itself.
+func (f *Front) Do(do func(w *standin.World)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do(f.world)
+}
+
+// start serves the world and lets its time pass with the clock's.
+func (f *Front) start(w *standin.World) error {
+	f.world, f.begun, f.stop = w, time.Now(), make(chan struct{})
+	for i := range w.Nodes {
+		addr, err := f.serve(f.stateService(w.Nodes[i]))
+		if err != nil {
+			return err
+		}
+		f.state = append(f.state, addr)
+	}
+	var err error
+	if f.cloud, err = f.serve(f.cloudService()); err != nil {
+		return err
+	}
+	w.Rented = f.serveWorker
+	f.done.Add(1)
+	go f.run()
+	return nil
+}
+
+// run lets the world's time pass.
+func (f *Front) run() {
+	defer f.done.Done()
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+			f.Do(func(w *standin.World) { w.Run(time.Since(f.begun) - w.Now) })
+		}
+	}
+}
+
+// Close ends the world.
+func (f *Front) Close() {
+	close(f.stop)
+	f.done.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range f.listeners {
+		l.Close()
+	}
+}
+
+// serve serves a handler on a loopback port of its own.
+func (f *Front) serve(h http.Handler) (addr string, err error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	f.listeners = append(f.listeners, l)
+	go func() {
+		if err := http.Serve(l, h); !errors.Is(err, net.ErrClosed) {
+			panic(err)
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+func respond(rw http.ResponseWriter, code int, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(code)
+	rw.Write(protocol.Encode(v))
+}
+
+// body reads a request's body into v.
+func body(r *http.Request, v any) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
+	return err == nil && json.Unmarshal(data, v) == nil
+}
+
+// unreachable holds a request of a controller that is cut off until it gives up.
+func unreachable(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// stateService is the state service as one controller reaches it.
+func (f *Front) stateService(n *standin.Node) http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, h http.HandlerFunc) {
+		mux.HandleFunc(pattern, func(rw http.ResponseWriter, r *http.Request) {
+			var cut, down bool
+			f.Do(func(w *standin.World) { cut, down = n.NoState, w.State.Down })
+			switch {
+			case cut:
+				unreachable(r)
+			case down && !strings.HasPrefix(r.URL.Path, protocol.PathFollow):
+				respond(rw, http.StatusServiceUnavailable, struct{}{})
+			default:
+				h(rw, r)
+			}
+		})
+	}
+	handle("GET "+protocol.PathKeys, f.list)
+	handle("GET "+protocol.PathKeys+"/{key...}", f.probe)
+	handle("POST "+protocol.PathMulti, f.multi)
+	handle("POST "+protocol.PathHolds, f.grant)
+	handle("POST "+protocol.PathHolds+"/{id}/extend", f.extend)
+	handle("GET "+protocol.PathFollow, f.follow)
+	return mux
+}
+
+// probe answers a read of one key. Controllers read only one that never exists, for the
+// revision.
+func (f *Front) probe(rw http.ResponseWriter, _ *http.Request) {
+	var rev protocol.Rev
+	f.Do(func(w *standin.World) { rev = w.State.Rev() })
+	respond(rw, http.StatusNotFound, protocol.MultiAnswer{Rev: rev})
+}
+
+func (f *Front) list(rw http.ResponseWriter, r *http.Request) {
+	page := protocol.Items{Items: []protocol.Item{}}
+	from := r.URL.Query().Get("from")
+	f.Do(func(w *standin.World) {
+		page.Rev = w.State.Rev()
+		for _, item := range w.State.Items(r.URL.Query().Get("starts")) {
+			if item.Key > from {
+				page.Items = append(page.Items, item)
+			}
+		}
+	})
+	if page.More = len(page.Items) > protocol.KeysPage; page.More {
+		page.Items = page.Items[:protocol.KeysPage]
+	}
+	respond(rw, http.StatusOK, page)
+}
+
+func (f *Front) multi(rw http.ResponseWriter, r *http.Request) {
+	var m protocol.Multi
+	if !body(r, &m) {
+		respond(rw, http.StatusBadRequest, protocol.MultiAnswer{Error: "malformed"})
+		return
+	}
+	code, answer := 0, protocol.MultiAnswer{}
+	lost := false
+	f.Do(func(w *standin.World) {
+		code, answer = w.State.Multi(m)
+		lost = w.Unheard > 0 && w.Rng.Float64() < w.Unheard
+	})
+	if lost {
+		panic(http.ErrAbortHandler) // carried out, and nobody is told
+	}
+	respond(rw, code, answer)
+}
+
+func (f *Front) grant(rw http.ResponseWriter, r *http.Request) {
+	var h protocol.Hold
+	if !body(r, &h) || h.TTLMS <= 0 {
+		respond(rw, http.StatusBadRequest, struct{}{})
+		return
+	}
+	f.Do(func(w *standin.World) { h.Tenancy = w.State.Grant(w.Now, time.Duration(h.TTLMS)*time.Millisecond) })
+	respond(rw, http.StatusOK, protocol.Hold{Tenancy: h.Tenancy})
+}
+
+func (f *Front) extend(rw http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	alive := false
+	f.Do(func(w *standin.World) { alive = err == nil && w.State.Extend(w.Now, protocol.LeaseID(id)) })
+	if !alive {
+		respond(rw, http.StatusNotFound, struct{}{})
+		return
+	}
+	respond(rw, http.StatusOK, protocol.Hold{Tenancy: protocol.LeaseID(id)})
+}
+
+// follow waits for changes; during an outage it only waits.
+func (f *Front) follow(rw http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	wait, err2 := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil || err2 != nil {
+		respond(rw, http.StatusBadRequest, struct{}{})
+		return
+	}
+	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); r.Context().Err() == nil; time.Sleep(step) {
+		var news protocol.Followed
+		var old, down bool
+		f.Do(func(w *standin.World) {
+			if down = w.State.Down; !down {
+				news, old = w.State.Follow(q.Get("starts"), protocol.Rev(from))
+			}
+		})
+		switch {
+		case old:
+			respond(rw, http.StatusGone, struct{}{})
+			return
+		case !down && (len(news.News) > 0 || time.Now().After(end)):
+			respond(rw, http.StatusOK, news)
+			return
+		}
+	}
+}
+
+// cloudService is the cloud.
+func (f *Front) cloudService() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+protocol.PathFlavors, func(rw http.ResponseWriter, _ *http.Request) {
+		respond(rw, http.StatusOK, struct {
+			Types []protocol.Flavor `json:"builds"`
+		}{f.world.Flavors})
+	})
+	mux.HandleFunc("POST "+protocol.PathHosts, func(rw http.ResponseWriter, r *http.Request) {
+		var h protocol.Hire
+		if !body(r, &h) || h.Count < 1 || h.Count > protocol.MaxHire {
+			respond(rw, http.StatusBadRequest, struct{}{})
+			return
+		}
+		var answer protocol.Machines
+		f.Do(func(w *standin.World) { answer.Machines = w.Rent(h) })
+		respond(rw, http.StatusOK, answer)
+	})
+	mux.HandleFunc("POST "+protocol.PathRelease, func(rw http.ResponseWriter, r *http.Request) {
+		var m protocol.Machines
+		if !body(r, &m) {
+			respond(rw, http.StatusBadRequest, struct{}{})
+			return
+		}
+		f.Do(func(w *standin.World) {
+			for _, id := range m.Machines {
+				w.Lose(id)
+			}
+		})
+		respond(rw, http.StatusOK, struct{}{})
+	})
+	mux.HandleFunc("GET "+protocol.PathHosts, func(rw http.ResponseWriter, r *http.Request) {
+		answer := protocol.Hosts{Machines: []protocol.Host{}}
+		f.Do(func(w *standin.World) {
+			for _, h := range w.Hosts() {
+				if string(h.UID) > r.URL.Query().Get("from") {
+					answer.Machines = append(answer.Machines, h)
+				}
+			}
+		})
+		respond(rw, http.StatusOK, answer)
+	})
+	return mux
+}
+
+// serveWorker gives a worker an address of its own. The world's lock is held.
+func (f *Front) serveWorker(m *standin.Worker) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+protocol.PathShow, func(rw http.ResponseWriter, r *http.Request) {
+		var report []byte
+		f.Do(func(*standin.World) {
+			if !m.Gone && !m.Cut {
+				report = m.Show()
+			}
+		})
+		answerWorker(rw, r, http.StatusOK, report)
+	})
+	mux.HandleFunc("POST "+protocol.PathDo, func(rw http.ResponseWriter, r *http.Request) {
+		var o protocol.Orders
+		if !body(r, &o) {
+			respond(rw, http.StatusBadRequest, struct{}{})
+			return
+		}
+		code, report := 0, []byte(nil)
+		f.Do(func(*standin.World) {
+			if !m.Gone && !m.Cut {
+				code, report = m.Do(o)
+			}
+		})
+		answerWorker(rw, r, code, report)
+	})
+	addr, err := f.serve(mux)
+	if err != nil {
+		panic(err)
+	}
+	m.Addr = addr
+}
+
+// answerWorker answers for a worker; one that is gone does not answer.
+func answerWorker(rw http.ResponseWriter, r *http.Request, code int, report []byte) {
+	if report == nil {
+		unreachable(r)
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(code)
+	rw.Write(report)
+}
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -23,18 +23,21 @@
 	Held      []time.Duration // how long pages took no new task
 	Took      []time.Duration // how long moves took from their begin to their end
 	Puts      int             // writes of moves' records
+	Machines  int             // that were moved, each time counted
+	Idle      time.Duration   // how long moving machines took no new task, all together
 
 	pages  map[bk.PageID]bk.Listing
 	on     map[protocol.MachineID]map[bk.PageID]bool
 	tenure map[protocol.MachineID]bk.Listing // of each machine: its newest owner and epoch
 	moves  map[string]bk.MoveRecord
 	living map[string]bk.Run // by the key of the controller
+	owners map[tenure]bk.Run // of each machine in each of its epochs
 }
 
 // NewHistory makes a checker of a store that is empty.
 func NewHistory(broken func(string)) *History {
 	return &History{Broken: broken, Aborted: map[string]int{}, pages: map[bk.PageID]bk.Listing{}, on: map[protocol.MachineID]map[bk.PageID]bool{},
-		tenure: map[protocol.MachineID]bk.Listing{}, moves: map[string]bk.MoveRecord{}, living: map[string]bk.Run{}}
+		tenure: map[protocol.MachineID]bk.Listing{}, moves: map[string]bk.MoveRecord{}, living: map[string]bk.Run{}, owners: map[tenure]bk.Run{}}
 }
 
 func (h *History) broken(rev protocol.Rev, format string, args ...any) {
@@ -125,6 +128,19 @@
 			h.broken(rev, "the token of machine %s falls from %d to %d", id, last.Epoch, now.Epoch)
 		}
 		h.tenure[id] = bk.Listing{Owner: now.Owner, Epoch: now.Epoch}
+		at := tenure{id, now.Epoch}
+		if other, known := h.owners[at]; known && other != now.Owner {
+			h.broken(rev, "machine %s has two owners in epoch %d: %s, %s", id, now.Epoch, other, now.Owner)
+		}
+		h.owners[at] = now.Owner
+	}
+}
+
+// Commanded checks that who commands a machine under a token has owned it in that epoch.
+func (h *History) Commanded(id protocol.MachineID, token protocol.FencingToken, by protocol.Member) {
+	epoch := bk.EpochOf(token)
+	if owner := h.owners[tenure{id, epoch}]; owner.Member() != by {
+		h.Broken(fmt.Sprintf("machine %s takes commands of %s in epoch %d, which is %q's", id, by, epoch, owner))
 	}
 }
 
@@ -147,7 +163,13 @@
 	case bk.MoveClosed:
 		h.Closed++
 		h.Took = append(h.Took, time.Duration(record.Ended-record.Begun)*time.Millisecond)
-		h.Held = append(h.Held, time.Duration(record.Passed-record.Held)*time.Millisecond)
+		held := time.Duration(0) // one that was taken over as proposed never came to rest
+		if record.Held > 0 {
+			held = time.Duration(record.Passed-record.Held) * time.Millisecond
+		}
+		h.Held = append(h.Held, held)
+		h.Machines += record.Machines
+		h.Idle += time.Duration(record.Machines) * held
 	case bk.MoveAborted:
 		h.Aborted[record.Why]++
 	}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -220,6 +220,18 @@
 	return n
 }
 
+// Waits lists how long the jobs that began waited for their first task, of those that keep
+// says to count.
+func (r *Rules) Waits(keep func(*protocol.Job) bool) (waits []time.Duration) {
+	for _, j := range r.jobs {
+		if j.desc != nil && j.began > 0 && keep(j.desc) {
+			waits = append(waits, j.began-j.sentAt)
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
 // Room notes whether there is room, now, for some of what waits of a job.
 func (r *Rules) Room(now time.Duration, id protocol.JobID, room bool) {
 	j := r.job(id)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -49,6 +49,12 @@
 	return &State{Value: 8192, Ops: 8, items: map[string]item{}, holds: map[protocol.LeaseID]time.Duration{}, ttl: map[protocol.LeaseID]time.Duration{}, kept: kept}
 }
 
+// Keep sets how many changes are kept for who follows.
+func (s *State) Keep(changes int) { s.kept = changes }
+
+// Rev is the service's revision.
+func (s *State) Rev() protocol.Rev { return s.rev }
+
 func (s *State) stamp(key string) protocol.Stamp { return s.items[key].stamp }
 
 // Expire ends the leases that are over and removes their keys.
