--- /dev/null
+++ b/internal/standin/move_requests_test.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	bk "tillerarch/internal/bookkeeping"
+	"tillerarch/internal/coordination"
+)
+
+// asked is what an operator hears of a request; it waits for the answer.
+func (w *World) asked(t *testing.T, n *Node, request coordination.MoveRequest) coordination.MoveReply {
+	t.Helper()
+	var reply *coordination.MoveReply
+	n.Move(request, func(r coordination.MoveReply) { reply = &r })
+	for end := w.Now + 8*time.Second; reply == nil && w.Now < end; {
+		w.Run(50 * time.Millisecond)
+	}
+	if reply == nil {
+		t.Fatalf("no answer to %+v", request)
+	}
+	return *reply
+}
+
+// pagesOf lists the pages of a controller.
+func (w *World) pagesOf(n *Node) (ids []bk.PageID) {
+	for id, page := range w.History.pages {
+		if page.Owner.Member() == n.Member && len(page.Machines) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// What an operator asks for is accepted once it is on record, and only once; what can't be
+// done is refused with the reason.
+func TestMoveRequests(t *testing.T) {
+	type world struct {
+		*World
+		a, b *Node
+		page bk.PageID // one of a's
+	}
+	for _, c := range []struct {
+		name      string
+		prepare   func(w world)
+		request   func(w world) coordination.MoveRequest
+		refused   string // part of the reason; empty: accepted
+		transient bool
+		phase     bk.MovePhase // it is answered with
+	}{
+		{"a page by name", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member}
+		}, "", false, bk.MoveProposed},
+		{"any page of a controller", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Of: w.a.Member, To: w.b.Member}
+		}, "", false, bk.MoveProposed},
+		{"no name", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Page: w.page, To: w.b.Member}
+		}, "needs a name", false, ""},
+		{"neither page nor controller", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", To: w.b.Member}
+		}, "neither", false, ""},
+		{"an unknown page", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: "nowhere", To: w.b.Member}
+		}, `no page "nowhere"`, false, ""},
+		{"an unknown taker", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: "stall-9"}
+		}, `no controller "stall-9"`, false, ""},
+		{"an unknown giver", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Of: "stall-9", To: w.b.Member}
+		}, `no controller "stall-9"`, false, ""},
+		{"to its owner", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.a.Member}
+		}, "already", false, ""},
+		{"from a controller to itself", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Of: w.a.Member, To: w.a.Member}
+		}, "the same", false, ""},
+		{"a page that is on its way", func(w world) {
+			w.asked(t, w.b, coordination.MoveRequest{Name: "first", Page: w.page, To: w.b.Member})
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member}
+		}, `move "first"`, true, ""},
+		{"to a controller of the version in production", func(w world) {
+			w.b.Kill()
+			w.b.Old = true
+			w.b.Start()
+			w.Run(15 * time.Second)
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Of: w.a.Member, To: w.b.Member}
+		}, "take no part", false, ""},
+		{"the state service is away", func(w world) {
+			w.State.Down = true
+			w.Run(10 * time.Second)
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member}
+		}, "state service", true, ""},
+		{"the state service goes as it is asked", func(w world) { w.State.Down = true }, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member}
+		}, "again under the same name", true, ""},
+		{"the same name again", func(w world) {
+			w.asked(t, w.b, coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member})
+			w.Run(20 * time.Second)
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member}
+		}, "", false, bk.MoveClosed},
+		{"abort of an unknown move", nil, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Abort: true}
+		}, `no move "m"`, false, ""},
+		{"abort in time", func(w world) {
+			w.asked(t, w.b, coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member})
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Abort: true}
+		}, "", false, bk.MoveAborted},
+		{"abort too late", func(w world) {
+			w.asked(t, w.b, coordination.MoveRequest{Name: "m", Page: w.page, To: w.b.Member})
+			w.Run(20 * time.Second)
+		}, func(w world) coordination.MoveRequest {
+			return coordination.MoveRequest{Name: "m", Abort: true}
+		}, "closed already", false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := movingWorld(t, 3)
+			w.Config.BalanceGap = time.Hour
+			for _, n := range w.Nodes {
+				n.Start()
+			}
+			w.Run(12 * time.Second)
+			s := world{World: w}
+			for _, n := range w.Nodes {
+				if pages := w.pagesOf(n); len(pages) > 0 && s.a == nil {
+					s.a, s.page = n, pages[0]
+				} else if s.b == nil {
+					s.b = n
+				}
+			}
+			if c.prepare != nil {
+				c.prepare(s)
+			}
+			asked := s.b
+			if asked.Old {
+				asked = s.a
+			}
+			puts := w.History.Puts
+			reply := w.asked(t, asked, c.request(s))
+			var refused *coordination.RequestError
+			switch {
+			case c.refused == "" && (reply.Err != nil || reply.Move.Phase != c.phase && !reply.Move.Phase.Follows(c.phase)):
+				t.Errorf("%v, %+v", reply.Err, reply.Move)
+			case c.refused != "" && (!errors.As(reply.Err, &refused) || !strings.Contains(refused.Reason, c.refused) || refused.Transient != c.transient):
+				t.Errorf("%v, want %q, transient %v", reply.Err, c.refused, c.transient)
+			case c.refused != "" && !c.transient && w.History.Puts != puts:
+				t.Errorf("refused, and something is on record")
+			}
+			w.State.Down = false
+			w.Run(40 * time.Second)
+			if open := w.History.Open(); len(open) > 0 || len(w.Rules.Broken) > 0 {
+				t.Errorf("open %v, broken %v", open, w.Rules.Broken)
+			}
+		})
+	}
+}
+
+// A controller that comes back late is given pages by moves on record, unasked, until the
+// shares are even; then nothing moves any more.
+func TestPlannedMovesComeToRest(t *testing.T) {
+	w := movingWorld(t, 9)
+	w.Config.ValueBytes = 1024 // few machines on a page; no jobs are to be placed
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	w.Nodes[0].Kill()
+	w.Run(20 * time.Second)
+	w.Nodes[0].Start()
+	w.Run(60 * time.Second)
+	passed := w.History.Passed
+	least, most := 1000, 0
+	for _, n := range w.Nodes {
+		least, most = min(least, len(w.pagesOf(n))), max(most, len(w.pagesOf(n)))
+	}
+	if passed == 0 || most-least > 2 || len(w.Rules.Broken) > 0 {
+		t.Errorf("%d pages passed, shares of %d to %d pages, broken %v", passed, least, most, w.Rules.Broken)
+	}
+	w.Run(60 * time.Second)
+	if w.History.Passed != passed {
+		t.Errorf("%d pages moved behind that", w.History.Passed-passed)
+	}
+}
+
+// While a page comes to rest it takes no task, running ones go on under their attempts, and
+// it takes tasks again behind the transfer.
+func TestPageComesToRest(t *testing.T) {
+	w := movingWorld(t, 4)
+	w.Config.BalanceGap = time.Hour
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	long := array("j-900001", "l", "standard", 20, 2, 60)
+	w.At(8*time.Second, func() { w.Submit(long) })
+	w.Run(20 * time.Second)
+	started := w.Starts
+	var prepared, passed time.Duration
+	w.onPhase(bk.MovePrepared, func(bk.MoveRecord) { prepared = w.Now })
+	w.onPhase(bk.MoveTransferred, func(bk.MoveRecord) { passed = w.Now })
+	for i, n := range w.Nodes {
+		for _, page := range w.pagesOf(n) {
+			w.asked(t, n, coordination.MoveRequest{Name: string(page), Page: page, To: w.Nodes[(i+1)%3].Member})
+		}
+	}
+	w.Run(20 * time.Second)
+	if prepared == 0 || passed <= prepared || passed-prepared > 6*time.Second {
+		t.Errorf("prepared at %v, passed at %v", prepared, passed)
+	}
+	if w.Starts != started || w.Rules.Started != 20 {
+		t.Errorf("%d starts, %d before the pages moved; %d of 20 tasks begun", w.Starts, started, w.Rules.Started)
+	}
+	w.Run(120 * time.Second)
+	w.Rules.End(w.Now)
+	if !w.Done[long.UID] || w.Starts != started || len(w.Rules.Broken) > 0 {
+		t.Errorf("done %v, %d starts for %d, broken %v", w.Done[long.UID], w.Starts, started, w.Rules.Broken)
+	}
+}
--- a/internal/standin/moves_test.go
+++ b/internal/standin/moves_test.go
@@ -20,6 +20,7 @@
 	w.Config.RecordMoves = true
 	w.Config.ValueBytes = 2500
 	w.Config.BalanceGap = time.Second
+	w.Config.IdleFactor = 1000 // idle machines stay
 	if os.Getenv("TRACE") != "" {
 		w.Trace = func(l string) { t.Log(l) }
 	}
