--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -20,13 +20,13 @@
 )
 
 const (
-	tickEvery   = 50 * time.Millisecond
-	stateWait   = 1500 * time.Millisecond
-	cloudWait   = 10 * time.Second
-	workerWait  = 2 * time.Second
-	followWait  = 3 * time.Second // below hold.ttl: the replica's age tells whether it may be acted on
-	queueLength = 1024
-	cloudShare  = 0.6
+	tickEvery     = 50 * time.Millisecond
+	stateWait     = 1500 * time.Millisecond
+	cloudWait     = 10 * time.Second
+	workerWait    = 2 * time.Second
+	followWait    = 3 * time.Second // below hold.ttl: the replica's age tells whether it may be acted on
+	shortestQueue = 1024            // of inputs; it grows with the sockets, each of which may have a request in it
+	cloudShare    = 0.6
 )
 
 // message is an input with the request it came from, if any.
@@ -75,7 +75,7 @@
 	perNode := func(rps float64) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(rps/nodes), max(int(rps/nodes), 2))
 	}
-	d := &daemon{s: s, in: make(chan message, queueLength), start: time.Now(), waiting: map[coordination.ReqID]*transport.Exchange{}, asking: map[coordination.ReqID]chan<- coordination.Effect{}}
+	d := &daemon{s: s, in: make(chan message, max(shortestQueue, s.maxSockets)), start: time.Now(), waiting: map[coordination.ReqID]*transport.Exchange{}, asking: map[coordination.ReqID]chan<- coordination.Effect{}}
 	d.workers.clients = map[string]*transport.Client{}
 	stateTokens := perNode(s.stateRPS)
 	d.state = &bookkeeping.State{
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -112,6 +112,7 @@
 	session protocol.Session
 	tally   protocol.Tally
 	shown   bool // its worker has answered here since
+	told    bool // its owner has been told, in this turn of the hints
 }
 
 // stoodStill is a pause between steps that is this process's own doing: its timer
@@ -243,12 +244,15 @@
 func (c *Core) onHint(h Hint) {
 	c.peers[h.Member] = peer{h, c.now.Steady}
 	c.onWithdrawals(&h)
-	for _, s := range h.Seen[:min(len(h.Seen), 200)] {
+	for _, s := range h.Seen[:min(len(h.Seen), maxSeen)] {
 		if e := c.replica.Machines[s.Machine]; e != nil && c.mine(&e.Rec) && c.replica.Alive(h.Run) {
 			m := c.own(e, s.Machine)
 			if s.Session < m.lastSession || s.Session == m.lastSession && s.Tally <= m.lastTally {
 				continue // a late copy of a report that has been here
 			}
+			// What was sent before and comes here late is no sign that the worker reaches
+			// this node.
+			m.lastSession, m.lastTally = s.Session, s.Tally
 			m.handTo, m.handAt = h.Run, c.now.Steady
 			c.ownership.handing[s.Machine] = true
 		}
@@ -309,10 +313,8 @@
 			h.Run = c.run
 			c.withdrawalHint(&h)
 			h.Fit = c.fit()
-			for _, id := range sorted(c.strayed) {
-				if s := c.strayed[id]; s.shown && len(h.Seen) < 200 {
-					h.Seen = append(h.Seen, Seen{id, s.session, s.tally})
-				}
+			if more := c.seenHint(&h); more {
+				c.hintAt = now.Add(c.jitter(moreHints))
 			}
 		}
 		maps.DeleteFunc(c.strayed, func(_ protocol.MachineID, s stray) bool { return c.since(s.at) > 3*time.Second })
@@ -330,6 +332,33 @@
 	c.tickCloud()
 }
 
+// maxSeen is how many machines of others one hint names: what fits into a frame beside
+// the withdrawals, for all versions.
+const maxSeen = 200
+
+// moreHints is the distance of hints while there is more to tell than fits into one.
+const moreHints = 200 * time.Millisecond
+
+// seenHint adds to a hint the machines of others whose workers report here, in turn, and
+// tells whether there are more.
+func (c *Core) seenHint(h *Hint) (more bool) {
+	shown := pick(c.strayed, func(s stray) bool { return s.shown && !s.told })
+	for _, id := range shown[:min(len(shown), maxSeen)] {
+		s := c.strayed[id]
+		h.Seen = append(h.Seen, Seen{id, s.session, s.tally})
+		s.told = true
+		c.strayed[id] = s
+	}
+	if len(shown) > maxSeen {
+		return true
+	}
+	for id, s := range c.strayed {
+		s.told = false // a hint may have been lost: they are told once more
+		c.strayed[id] = s
+	}
+	return false
+}
+
 // strain notes whether this process falls behind: its ticks, which are due every 50
 // ms, come late for seconds on end. One that computes several times slower than the
 // others gives pages away, before their workers lose patience and their leases.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -13,16 +13,20 @@
 // that answers nobody, or a late copy, is no reason to hand anything over.)
 func (c *Core) stray(r *protocol.Report) {
 	s, ok := c.strayed[r.Machine]
-	if ok && (r.Session < s.session || r.Session == s.session && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= 500 {
+	if ok && (r.Session < s.session || r.Session == s.session && r.Tally <= s.tally) || r.Addr == "" || len(c.strayed) >= c.maxStrayed() {
 		return
 	}
-	if c.doing < maxDoing {
+	if c.doing < c.maxDoing() {
 		c.strayed[r.Machine] = stray{at: c.now.Steady, session: r.Session, tally: r.Tally}
 		c.doing++
 		c.emit(SendShow{r.Machine, r.Addr})
 	}
 }
 
+// maxStrayed bounds the reports of others' machines that are kept in mind: a controller
+// that has lost its workers may send all of them here.
+func (c *Core) maxStrayed() int { return max(len(c.replica.Machines), 500) }
+
 func (c *Core) redirect(req ReqID, to protocol.Member) {
 	c.reply(req, 421, protocol.Redirect{Redirect: to})
 }
@@ -457,12 +461,18 @@
 }
 
 // Direct commands under way at once: after a takeover there are hundreds of
-// workers to be told, and each call takes a socket.
-const maxDoing = 24
+// workers to be told, and each call takes a socket. Those of a large fleet grow with it, as
+// the machines do that hang at once, each of which holds a call for seconds.
+const (
+	fewestDoing = 24
+	doingPart   = 32 // of the machines on record, one in so many
+)
+
+func (c *Core) maxDoing() int { return max(fewestDoing, len(c.replica.Machines)/doingPart) }
 
 // do sends a direct command, at most one at a time to a machine.
 func (c *Core) do(e *bk.Machine, m *mstate, orders []protocol.Order, again time.Duration) {
-	if m.doOut || m.doAt != 0 && c.since(m.doAt) < again || e.Rec.Addr == "" || len(orders) == 0 && c.doing >= maxDoing {
+	if m.doOut || m.doAt != 0 && c.since(m.doAt) < again || e.Rec.Addr == "" || len(orders) == 0 && c.doing >= c.maxDoing() {
 		return
 	}
 	session := e.Rec.Session
@@ -479,7 +489,7 @@
 
 // show asks the worker of a machine that this run does not own for its report.
 func (c *Core) show(m *mstate, addr string) {
-	if m.doOut || m.shown || addr == "" || c.doing >= 2*maxDoing {
+	if m.doOut || m.shown || addr == "" || c.doing >= 2*c.maxDoing() {
 		return
 	}
 	m.doOut, m.doAt = true, c.now.Steady
--- a/internal/coordination/withdraw.go
+++ b/internal/coordination/withdraw.go
@@ -42,6 +42,8 @@
 	acked    map[protocol.JobID]bool                    // intents that this run answers for
 	aware    map[protocol.JobID]bool                    // intents of which nobody who matters is unaware
 	intentAt map[protocol.JobID]protocol.Instant        // intents in the last message to the others
+
+	intentTurn, ackTurn rotation // which of them the next message begins with
 }
 
 func newCancellations() cancellations {
@@ -268,18 +270,24 @@
 		}
 	}
 	clear(c.cancellations.intentAt)
-	for _, id := range c.inTurn(open, maxIntents) {
+	for _, id := range c.cancellations.intentTurn.take(open, maxIntents) {
 		c.cancellations.intentAt[id] = c.now.Steady
 		h.Intents = append(h.Intents, Intent{id, protocol.Rev(c.replica.Withdrawing[id].Stamp)})
 	}
-	h.Acks = c.inTurn(sorted(c.cancellations.acked), maxAcks)
+	h.Acks = c.cancellations.ackTurn.take(sorted(c.cancellations.acked), maxAcks)
 }
 
-func (c *Core) inTurn(ids []protocol.JobID, most int) []protocol.JobID {
+// rotation takes parts of a list in turn, so that each entry comes within as many takes as
+// the list has parts.
+type rotation struct{ next int }
+
+// take gives the next entries, and goes on behind them the next time.
+func (r *rotation) take(ids []protocol.JobID, most int) []protocol.JobID {
 	if len(ids) <= most {
 		return ids
 	}
-	at := c.rng.IntN(len(ids))
+	at := r.next % len(ids)
+	r.next = at + most
 	return append(append([]protocol.JobID(nil), ids[at:]...), ids[:at]...)[:most]
 }
 
@@ -371,7 +379,7 @@
 		case !holds || d < c.cfg.Cancel*2/5:
 		case d > c.cfg.Cancel*3/5:
 			c.returnUnmarked(id)
-		case !m.doOut && c.since(m.doAt) > 2*time.Second && e.Rec.Addr != "" && c.doing < maxDoing:
+		case !m.doOut && c.since(m.doAt) > 2*time.Second && e.Rec.Addr != "" && c.doing < c.maxDoing():
 			m.doOut, m.doAt = true, c.now.Steady
 			c.doing++
 			c.emit(SendShow{id, e.Rec.Addr})
--- a/internal/coordination/withdraw_test.go
+++ b/internal/coordination/withdraw_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -226,3 +227,27 @@
 		}
 	}
 }
+
+// Whatever the length of the list, each entry comes in its turn.
+func TestRotation(t *testing.T) {
+	ids := make([]protocol.JobID, 1000)
+	for i := range ids {
+		ids[i] = protocol.JobID(fmt.Sprintf("j-%04d", i))
+	}
+	for _, c := range []struct{ length, most, takes int }{{10, 200, 1}, {200, 200, 1}, {201, 200, 2}, {1000, 150, 7}} {
+		var r rotation
+		seen := map[protocol.JobID]bool{}
+		for range c.takes {
+			part := r.take(ids[:c.length], c.most)
+			if len(part) != min(c.length, c.most) {
+				t.Errorf("%+v: %d at once", c, len(part))
+			}
+			for _, id := range part {
+				seen[id] = true
+			}
+		}
+		if len(seen) != c.length {
+			t.Errorf("%+v: %d seen", c, len(seen))
+		}
+	}
+}
--- a/internal/standin/move_requests_test.go
+++ b/internal/standin/move_requests_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/coordination"
+	"tillerarch/internal/protocol"
 )
 
 // asked is what an operator hears of a request; it waits for the answer.
@@ -188,6 +190,41 @@
 	}
 }
 
+// Between its preparation and its transfer a page is sent no start, and each worker has
+// reported behind the last one it was sent: the taker finds nothing on its way.
+func TestNothingIsOnItsWayAtTheTransfer(t *testing.T) {
+	const answerOnItsWay = 500 * time.Millisecond // those that left before the write was known
+	w := movingWorld(t, 6)
+	n := 0
+	w.Every(300*time.Millisecond, func() {
+		n++
+		w.Submit(array(protocol.JobID(fmt.Sprintf("j-%06d", n)), "l", "standard", 8, 1, 2))
+	})
+	w.moveAround(700*time.Millisecond, 60*time.Second)
+	prepared := map[string]time.Duration{}
+	w.onPhase(bk.MovePrepared, func(r bk.MoveRecord) { prepared[r.Name] = w.Now })
+	checked := 0
+	w.onPhase(bk.MoveTransferred, func(r bk.MoveRecord) {
+		for _, id := range w.machinesOf(r.Page) {
+			m := w.Workers[id]
+			if m == nil || m.Gone || m.ordered == 0 {
+				continue
+			}
+			checked++
+			if m.ordered > prepared[r.Name]+answerOnItsWay {
+				t.Errorf("%s: %s took a start %v behind the preparation", r.Name, id, m.ordered-prepared[r.Name])
+			}
+			if m.sentAt < m.ordered {
+				t.Errorf("%s: %s has not reported since it took a start at %v, now %v", r.Name, id, m.ordered, w.Now)
+			}
+		}
+	})
+	w.Run(70 * time.Second)
+	if checked < 100 || len(w.Rules.Broken) > 0 {
+		t.Errorf("%d machines checked, broken %v", checked, w.Rules.Broken)
+	}
+}
+
 // While a page comes to rest it takes no task, running ones go on under their attempts, and
 // it takes tasks again behind the transfer.
 func TestPageComesToRest(t *testing.T) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -47,7 +47,8 @@
 	leased  time.Duration // when the last answered report was sent
 	node    int
 	images  map[string]bool
-	seq     int // of the report that waits for its answer
+	ordered time.Duration // when it last took a start
+	seq     int           // of the report that waits for its answer
 	waiting bool
 	sentAt  time.Duration
 	dueAt   time.Duration
@@ -315,6 +316,7 @@
 			nk := &task{try: o.Try, stage: protocol.Fetching}
 			m.tasks[o.Task] = nk
 			w.Starts++
+			m.ordered = w.Now
 			switch used := m.used(o.Task); {
 			case d == nil:
 				nk.stage, nk.cause = protocol.Ended, protocol.CauseNoSuch
