--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -190,6 +190,9 @@
 // writeMoves takes the moves on record as far as it is for this controller to do, and
 // puts those on record that operators ask for.
 func (c *Core) writeMoves(b *batch) {
+	if len(c.replica.Moves)+len(c.ownership.requests) == 0 {
+		return
+	}
 	kept := c.keptForGangs()
 	for _, slot := range sorted(c.replica.Moves) {
 		e := c.replica.Moves[slot]
--- a/internal/loopback/moves_test.go
+++ b/internal/loopback/moves_test.go
@@ -22,11 +22,6 @@
 	"tillerarch/internal/standin"
 )
 
-var testFlavors = []protocol.Flavor{
-	{Sku: "small", Cores: 4, MemGB: 16, LocalGB: 20, FetchGBPerS: 1, Rate: 0.2, LowPrice: 0.05, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
-	{Sku: "large", Cores: 32, MemGB: 64, LocalGB: 20, FetchGBPerS: 1, Rate: 1.6, LowPrice: 0.4, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
-}
-
 // buildProgram builds the program under test.
 func buildProgram(t *testing.T) string {
 	t.Helper()
@@ -40,7 +35,7 @@
 // startFleet brings up three controllers and some machines.
 func startFleet(t *testing.T, program string, seed uint64) *Fleet {
 	t.Helper()
-	f, err := Start(Options{Seed: seed, Controllers: 3, Program: program, Dir: t.TempDir(), Flavors: testFlavors,
+	f, err := Start(Options{Seed: seed, Controllers: 3, Program: program, Dir: t.TempDir(), Flavors: standin.SmallAndLarge,
 		Teams: map[string]coordination.Team{"core": {}, "tight": {CoresMax: 10}}, Properties: "moves.recorded = true\nage.after = 60s"})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/fleet_bench_test.go
+++ b/internal/standin/fleet_bench_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"tillerarch/internal/protocol"
 )
 
-// fleet makes a deployment of n machines on which tasks begin and end all the
-// time, the more the more machines there are.
-func fleet(n int) *World {
+// largeWorld is a deployment of n machines that all stay.
+func largeWorld(n int) *World {
 	w := NewWorld(77, 3, testFlavors, testTeams())
 	w.Config.IdleFactor = 1000
 	w.Config.WriteRPS, w.Config.TxnOps, w.State.Ops = 90, 24, 24
@@ -23,6 +23,13 @@
 	for i := 0; i < n; i++ {
 		w.Machine([]protocol.Sku{"small", "small", "small", "small", "large"}[i%5], protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
 	}
+	return w
+}
+
+// fleet makes a deployment of n machines on which tasks begin and end all the
+// time, the more the more machines there are.
+func fleet(n int) *World {
+	w := largeWorld(n)
 	k := 0
 	w.Every(time.Duration(2400*float64(time.Second)/float64(n)/2), func() {
 		k++
@@ -49,3 +56,71 @@
 		})
 	}
 }
+
+// What moves cost those who wait: gangs and arrays that come while pages move all the time,
+// and the same without moves. The figures stand in docs/shares.md. Run with
+// -bench MovesAndWaits -benchtime 1x.
+func BenchmarkMovesAndWaits(b *testing.B) {
+	for _, every := range []time.Duration{0, 3 * time.Second, time.Second} {
+		name := "no moves"
+		if every > 0 {
+			name = fmt.Sprintf("one asked for every %v", every)
+		}
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				var gangs, others []time.Duration
+				passed, puts, machines, idle := 0, 0, 0, time.Duration(0)
+				for seed := uint64(1); seed <= 8; seed++ {
+					w := busyWorld(seed)
+					if every > 0 {
+						w.moveAround(every, 120*time.Second)
+					}
+					w.Run(160 * time.Second)
+					gangs = append(gangs, w.Rules.Waits(func(j *protocol.Job) bool { return j.Gang() })...)
+					others = append(others, w.Rules.Waits(func(j *protocol.Job) bool { return !j.Gang() })...)
+					passed += w.History.Passed
+					puts += w.History.Puts
+					machines += w.History.Machines
+					idle += w.History.Idle
+				}
+				slices.Sort(gangs)
+				slices.Sort(others)
+				b.ReportMetric(gangs[len(gangs)/2].Seconds(), "gang-median-s")
+				b.ReportMetric(gangs[len(gangs)*95/100].Seconds(), "gang-95%-s")
+				b.ReportMetric(others[len(others)/2].Seconds(), "array-median-s")
+				b.ReportMetric(others[len(others)*95/100].Seconds(), "array-95%-s")
+				b.ReportMetric(float64(passed), "pages")
+				b.ReportMetric(float64(puts)/float64(max(machines, 1)), "puts/machine")
+				b.ReportMetric(idle.Seconds()/float64(max(machines, 1)), "idle-s/machine")
+			}
+		})
+	}
+}
+
+// busyWorld is a deployment of 24 machines that is half full of arrays and gangs.
+func busyWorld(seed uint64) *World {
+	w := NewWorld(seed, 3, testFlavors, testTeams())
+	w.Config.RecordMoves = true
+	w.Config.ValueBytes = 2500
+	w.Config.IdleFactor = 1000
+	w.NoHire = true
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	for i := range 24 {
+		w.Machine("small", protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
+	}
+	n := 0
+	w.Every(2*time.Second, func() {
+		if n++; w.Now > 120*time.Second {
+			return
+		}
+		id := protocol.JobID(fmt.Sprintf("j-%06d", n))
+		if n%3 == 0 {
+			w.Submit(gang(id, "l", "high", 2+w.Rng.IntN(4), 3, 8))
+		} else {
+			w.Submit(array(id, "l", "standard", 1+w.Rng.IntN(12), 1, 8))
+		}
+	})
+	return w
+}
--- a/internal/standin/large_fleet_test.go
+++ b/internal/standin/large_fleet_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"tillerarch/internal/protocol"
 )
 
 // One of three controllers of 4,000 machines loses its workers. The others are told of each
@@ -13,18 +11,7 @@
 func TestLargeFleetIsHandedOver(t *testing.T) {
 	t.Parallel()
 	const machines = 4000
-	w := NewWorld(77, 3, testFlavors, testTeams())
-	w.Config.IdleFactor = 1000
-	w.Config.WriteRPS, w.Config.TxnOps, w.State.Ops = 90, 24, 24
-	w.Report, w.Lease = 8*time.Second, 42*time.Second
-	w.Config.Report, w.Config.Lease = w.Report, w.Lease
-	w.NoHire = true
-	for _, c := range w.Nodes {
-		c.Start()
-	}
-	for i := range machines {
-		w.Machine([]protocol.Sku{"small", "small", "small", "small", "large"}[i%5], protocol.Zone([]string{"a", "b"}[i%2]), false, 0)
-	}
+	w := largeWorld(machines)
 	w.Run(40 * time.Second)
 	lost := w.Nodes[0]
 	owned := w.ownedBy(lost)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -103,6 +103,12 @@
 
 var errLost = errors.New("no answer")
 
+// SmallAndLarge are two machine types in two zones.
+var SmallAndLarge = []protocol.Flavor{
+	{Sku: "small", Cores: 4, MemGB: 16, LocalGB: 20, FetchGBPerS: 1, Rate: 0.2, LowPrice: 0.05, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
+	{Sku: "large", Cores: 32, MemGB: 64, LocalGB: 20, FetchGBPerS: 1, Rate: 1.6, LowPrice: 0.4, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
+}
+
 // NewWorld makes a deployment with controllers in the given zones.
 func NewWorld(seed uint64, nodes int, flavors []protocol.Flavor, teams map[string]coordination.Team) *World {
 	w := &World{Rng: rand.New(rand.NewPCG(seed, 11)), State: NewState(500), Rules: NewRules(30 * time.Second),
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -14,10 +14,7 @@
 	"tillerarch/internal/protocol"
 )
 
-var testFlavors = []protocol.Flavor{
-	{Sku: "small", Cores: 4, MemGB: 16, LocalGB: 20, FetchGBPerS: 1, Rate: 0.2, LowPrice: 0.05, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
-	{Sku: "large", Cores: 32, MemGB: 64, LocalGB: 20, FetchGBPerS: 1, Rate: 1.6, LowPrice: 0.4, ReadyS: 3, Zones: []protocol.Zone{"a", "b"}},
-}
+var testFlavors = SmallAndLarge
 
 func testTeams() map[string]coordination.Team {
 	return map[string]coordination.Team{"core": {}, "tight": {CoresMax: 10}}
