A controller whose machines are nearly all gone gives them up; controllers can be drained

Change: what the cloud's list no longer has is gone, whoever is silent; the rest is waited for twice as long. tillerarch shares drain and undrain: a controller gives its pages and gets none, on record.

--- a/cmd/tillerarch/daemon.go
+++ b/cmd/tillerarch/daemon.go
@@ -208,6 +208,8 @@
 		}
 	case coordination.MoveReply:
 		d.answerOperator(v.Req, v)
+	case coordination.DrainReply:
+		d.answerOperator(v.Req, v)
 	case coordination.SharesReply:
 		d.answerOperator(v.Req, v)
 	case coordination.Log:
--- a/cmd/tillerarch/operators.go
+++ b/cmd/tillerarch/operators.go
@@ -62,6 +62,34 @@
 	return o.move(ctx, coordination.MoveRequest{Name: r.Name, Page: bk.PageID(r.Page), Of: protocol.Member(r.From), To: protocol.Member(r.To)})
 }
 
+// Drain has a controller's drain put on record, or its end.
+func (o operators) Drain(ctx context.Context, r *admin.DrainRequest) (*admin.Controller, error) {
+	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input {
+		return coordination.DrainRequest{Req: id, Member: protocol.Member(r.Member), Drain: r.Drain}
+	})
+	if err != nil {
+		return nil, err
+	}
+	reply, ok := e.(coordination.DrainReply)
+	if !ok {
+		return nil, fmt.Errorf("unexpected answer %T", e)
+	}
+	if reply.Err != nil {
+		return nil, asRefusal(reply.Err)
+	}
+	c := controllerMessage(&reply.Share)
+	return &c, nil
+}
+
+// asRefusal is why the core refused a request, as tools are told.
+func asRefusal(err error) error {
+	var refused *coordination.RequestError
+	if errors.As(err, &refused) {
+		return &admin.Refusal{Reason: refused.Reason, Again: refused.Transient}
+	}
+	return err
+}
+
 // Abort has the end of a move put on record.
 func (o operators) Abort(ctx context.Context, r *admin.AbortRequest) (*admin.Move, error) {
 	return o.move(ctx, coordination.MoveRequest{Name: r.Name, Abort: true})
@@ -79,9 +107,8 @@
 	if !ok {
 		return nil, fmt.Errorf("unexpected answer %T", e)
 	}
-	var refused *coordination.RequestError
-	if errors.As(reply.Err, &refused) {
-		return nil, &admin.Refusal{Reason: refused.Reason, Again: refused.Transient}
+	if reply.Err != nil {
+		return nil, asRefusal(reply.Err)
 	}
 	move := moveMessage(&reply.Move)
 	return &move, nil
@@ -90,7 +117,7 @@
 func sharesMessage(r *coordination.SharesReply) *admin.Shares {
 	s := &admin.Shares{Revision: uint64(r.Revision), Stale: r.Stale}
 	for _, c := range r.Members {
-		s.Controllers = append(s.Controllers, admin.Controller{Member: string(c.Member), Run: string(c.Run), Pages: c.Pages, Machines: c.Machines, Moves: c.Moves})
+		s.Controllers = append(s.Controllers, controllerMessage(&c))
 	}
 	for _, p := range r.Pages {
 		s.Pages = append(s.Pages, admin.Page{Page: string(p.Page), Owner: string(p.Owner), Epoch: uint64(p.Epoch), Machines: p.Machines, Tasks: p.Tasks})
@@ -104,6 +131,10 @@
 	return s
 }
 
+func controllerMessage(c *coordination.ControllerShare) admin.Controller {
+	return admin.Controller{Member: string(c.Member), Run: string(c.Run), Pages: c.Pages, Machines: c.Machines, Moves: c.Moves, Draining: c.Draining}
+}
+
 func moveMessage(m *bk.MoveRecord) admin.Move {
 	return admin.Move{Name: m.Name, Page: string(m.Page), From: string(m.From), To: string(m.To), Phase: string(m.Phase), Why: m.Why,
 		Machines: m.Machines, Begun: wall(m.Begun), Prepared: wall(m.Held), Passed: wall(m.Passed), Ended: wall(m.Ended)}
--- a/cmd/tillerarch/shares.go
+++ b/cmd/tillerarch/shares.go
@@ -88,7 +88,9 @@
 	command := &cobra.Command{Use: "shares", Short: "Which controller owns which machines, and their moves"}
 	command.PersistentFlags().StringVar(&t.address, "admin", "127.0.0.1:8090", "admin service of a controller (admin.listen in its properties)")
 	command.PersistentFlags().BoolVar(&t.asJSON, "json", false, "answer as JSON")
-	command.AddCommand(t.listCommand(), t.planCommand(), t.historyCommand(), t.moveCommand(), t.abortCommand())
+	command.AddCommand(t.listCommand(), t.planCommand(), t.historyCommand(), t.moveCommand(), t.abortCommand(),
+		t.drainCommand("drain", "Give all machines of a controller to the others, and none to it", true),
+		t.drainCommand("undrain", "Let a controller take machines again", false))
 	return command
 }
 
@@ -111,10 +113,8 @@
 func (t *tool) listCommand() *cobra.Command {
 	var pages bool
 	command := t.readCommand("list", "Controllers and what they own", func(s *admin.Shares) any { return s }, func(w io.Writer, s *admin.Shares) {
-		fmt.Fprintf(w, "revision %d\nCONTROLLER\tRUN\tPAGES\tMACHINES\tMOVES\n", s.Revision)
-		for _, c := range s.Controllers {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\n", c.Member, c.Run, c.Pages, c.Machines, c.Moves)
-		}
+		fmt.Fprintf(w, "revision %d\n", s.Revision)
+		printControllers(w, s.Controllers)
 		if pages {
 			fmt.Fprint(w, "PAGE\tOWNER\tEPOCH\tMACHINES\tTASKS\n")
 			for _, p := range s.Pages {
@@ -126,6 +126,13 @@
 	return command
 }
 
+func printControllers(w io.Writer, controllers []admin.Controller) {
+	fmt.Fprint(w, "CONTROLLER\tRUN\tPAGES\tMACHINES\tMOVES\tDRAINING\n")
+	for _, c := range controllers {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%v\n", c.Member, cmp.Or(c.Run, "-"), c.Pages, c.Machines, c.Moves, c.Draining)
+	}
+}
+
 func (t *tool) planCommand() *cobra.Command {
 	return t.readCommand("plan", "Moves that this controller would begin now", func(s *admin.Shares) any { return s.Plan }, func(w io.Writer, s *admin.Shares) {
 		fmt.Fprint(w, "PAGE\tFROM\tTO\n")
@@ -202,14 +209,16 @@
 	return nil
 }
 
+// pollInterval is the pause between two looks at what a command waits for.
+const pollInterval = 300 * time.Millisecond
+
 // awaitEnd waits until a move has ended.
 func awaitEnd(ctx context.Context, client *admin.Client, move *admin.Move, wait time.Duration) (*admin.Move, error) {
-	const poll = 300 * time.Millisecond
 	for deadline := time.Now().Add(wait); move.Phase != "closed" && move.Phase != "aborted"; {
 		if time.Now().After(deadline) {
 			return nil, &admin.Refusal{Reason: fmt.Sprintf("move %s is %s; it goes on, ask `shares history`", move.Name, move.Phase), Again: true}
 		}
-		time.Sleep(poll)
+		time.Sleep(pollInterval)
 		s, err := client.Shares(ctx)
 		if err != nil {
 			return nil, err
@@ -232,3 +241,44 @@
 		})
 	}}
 }
+
+// drainCommand is a command that begins or ends a controller's drain.
+func (t *tool) drainCommand(name, short string, drain bool) *cobra.Command {
+	var wait time.Duration
+	command := &cobra.Command{Use: name + " CONTROLLER", Short: short, Args: cobra.ExactArgs(1), RunE: func(command *cobra.Command, args []string) error {
+		return t.with(func(ctx context.Context, client *admin.Client) error {
+			c, err := client.Drain(ctx, &admin.DrainRequest{Member: args[0], Drain: drain})
+			if err == nil && wait > 0 {
+				c, err = awaitEmpty(ctx, client, c, wait)
+			}
+			if err != nil {
+				return err
+			}
+			return t.print(command.OutOrStdout(), c, func(w io.Writer) { printControllers(w, []admin.Controller{*c}) })
+		})
+	}}
+	if drain {
+		command.Flags().DurationVar(&wait, "wait", 0, "wait so long until it has no machines")
+	}
+	return command
+}
+
+// awaitEmpty waits until a controller owns no machines.
+func awaitEmpty(ctx context.Context, client *admin.Client, c *admin.Controller, wait time.Duration) (*admin.Controller, error) {
+	for deadline := time.Now().Add(wait); c.Machines > 0; {
+		if time.Now().After(deadline) {
+			return nil, &admin.Refusal{Reason: fmt.Sprintf("%s still owns %d machines; it goes on giving them away", c.Member, c.Machines), Again: true}
+		}
+		time.Sleep(pollInterval)
+		s, err := client.Shares(ctx)
+		if err != nil {
+			return nil, err
+		}
+		i := slices.IndexFunc(s.Controllers, func(o admin.Controller) bool { return o.Member == c.Member })
+		if i < 0 {
+			return nil, &admin.Refusal{Reason: fmt.Sprintf("%s has ended; others take its machines over", c.Member), Again: true}
+		}
+		c = &s.Controllers[i]
+	}
+	return c, nil
+}
--- a/cmd/tillerarch/shares_test.go
+++ b/cmd/tillerarch/shares_test.go
@@ -33,6 +33,12 @@
 	return &f.move, f.err
 }
 
+func (f *fakeDaemon) Drain(_ context.Context, r *admin.DrainRequest) (*admin.Controller, error) {
+	c := f.shares.Controllers[0]
+	c.Draining = r.Drain
+	return &c, f.err
+}
+
 // run runs `tillerarch shares` against a daemon: what it prints, and its exit code.
 func run(t *testing.T, f *fakeDaemon, args ...string) (out string, code int) {
 	t.Helper()
@@ -83,6 +89,11 @@
 		{"move, waited for", []string{"move", "--page", "p", "--to", "stall-1", "--wait", "2s"}, nil, 0, []string{"closed"}},
 		{"move that is aborted", []string{"move", "--page", "p", "--to", "stall-1"}, func(f *fakeDaemon) { f.move = aborted }, exitAborted, []string{"the taker has ended"}},
 		{"abort", []string{"abort", "m-1"}, func(f *fakeDaemon) { f.move = aborted }, 0, []string{"aborted"}},
+		{"drain", []string{"drain", "stall-0"}, nil, 0, []string{"DRAINING", "true", "51"}},
+		{"drain, waited for in vain", []string{"drain", "stall-0", "--wait", "400ms"}, nil, exitUnavailable, []string{"51 machines"}},
+		{"drain, waited for", []string{"drain", "stall-0", "--wait", "2s"}, func(f *fakeDaemon) { f.shares.Controllers[0].Machines = 0 }, 0, []string{"stall-0"}},
+		{"undrain", []string{"undrain", "stall-0"}, nil, 0, []string{"false"}},
+		{"drain of nobody", []string{"drain"}, nil, exitUsage, []string{"1 arg"}},
 		{"move without a taker", []string{"move", "--from", "stall-0"}, nil, exitUsage, []string{"--to"}},
 		{"move of a page and of any", []string{"move", "--from", "stall-0", "--page", "p", "--to", "x"}, nil, exitUsage, []string{"one of"}},
 		{"abort of nothing", []string{"abort"}, nil, exitUsage, []string{"1 arg"}},
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -32,6 +32,10 @@
 	return &Move{Name: r.Name, Phase: "aborted"}, b.err
 }
 
+func (b *backend) Drain(_ context.Context, r *DrainRequest) (*Controller, error) {
+	return &Controller{Member: r.Member, Draining: r.Drain}, b.err
+}
+
 // start serves a backend on loopback and makes a client of it.
 func start(t *testing.T, b Backend) *Client {
 	t.Helper()
@@ -65,6 +69,9 @@
 	if move, err := client.Move(context.Background(), &request); err != nil || move.Phase != "proposed" || *b.moved != request {
 		t.Errorf("%+v, %v, asked %+v", move, err, b.moved)
 	}
+	if c, err := client.Drain(context.Background(), &DrainRequest{Member: "stall-1", Drain: true}); err != nil || c.Member != "stall-1" || !c.Draining {
+		t.Errorf("%+v, %v", c, err)
+	}
 	if move, err := client.Abort(context.Background(), &AbortRequest{Name: "m"}); err != nil || move.Phase != "aborted" || move.Name != "m" {
 		t.Errorf("%+v, %v", move, err)
 	}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -43,6 +43,11 @@
 	return call[Move](ctx, c, methodAbort, request)
 }
 
+// Drain asks for a controller to be drained, or to be no longer.
+func (c *Client) Drain(ctx context.Context, request *DrainRequest) (*Controller, error) {
+	return call[Controller](ctx, c, methodDrain, request)
+}
+
 // call makes one call, bounded in time, and turns its status into a Refusal.
 func call[Answer any](ctx context.Context, c *Client, method string, request any) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/admin/messages.go
+++ b/internal/admin/messages.go
@@ -29,6 +29,7 @@
 	Pages    int    `json:"pages"`
 	Machines int    `json:"machines"`
 	Moves    bool   `json:"moves"` // it takes part in moves on record
+	Draining bool   `json:"draining"`
 }
 
 // Page is a page of machines with its owner.
@@ -71,6 +72,13 @@
 	To   string `json:"to"`
 }
 
+// DrainRequest asks for a controller to give its machines away and be given none, or to
+// take part again. It is accepted once it is on record, and holds for later processes, too.
+type DrainRequest struct {
+	Member string `json:"member"`
+	Drain  bool   `json:"drain"`
+}
+
 // AbortRequest asks for a move to be aborted.
 type AbortRequest struct {
 	Name string `json:"name"`
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -31,6 +31,7 @@
 	methodShares = "Shares"
 	methodMove   = "Move"
 	methodAbort  = "Abort"
+	methodDrain  = "Drain"
 )
 
 // Backend answers the service's requests.
@@ -38,6 +39,7 @@
 	Shares(context.Context, *SharesRequest) (*Shares, error)
 	Move(context.Context, *MoveRequest) (*Move, error)
 	Abort(context.Context, *AbortRequest) (*Move, error)
+	Drain(context.Context, *DrainRequest) (*Controller, error)
 }
 
 // Refusal is a request that can't be carried out as it is.
@@ -56,6 +58,7 @@
 		method(methodShares, Backend.Shares),
 		method(methodMove, Backend.Move),
 		method(methodAbort, Backend.Abort),
+		method(methodDrain, Backend.Drain),
 	},
 }
 
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -48,6 +48,7 @@
 	Members     map[protocol.Member]*Entry[MemberRecord]
 	Teams       map[string]protocol.Stamp
 	Moves       map[MoveSlot]*Entry[MoveRecord]
+	Drains      map[protocol.Member]*Entry[DrainRecord]
 	Roll        protocol.Stamp                       // of RollKey
 	Format      Entry[FormatRecord]                  // of FormatKey
 	Open        map[protocol.JobID]*Entry[JobRecord] // the jobs that are neither done nor withdrawn
@@ -77,6 +78,7 @@
 		Members:     map[protocol.Member]*Entry[MemberRecord]{},
 		Teams:       map[string]protocol.Stamp{},
 		Moves:       map[MoveSlot]*Entry[MoveRecord]{},
+		Drains:      map[protocol.Member]*Entry[DrainRecord]{},
 		on:          map[protocol.JobID]map[protocol.MachineID]bool{},
 		gone:        map[string]protocol.Stamp{},
 		doneOn:      map[protocol.JobID]map[PageID]bool{},
@@ -99,6 +101,8 @@
 		return m.Teams[key[len(teamPrefix):]]
 	case strings.HasPrefix(key, movePrefix):
 		return stampOf(m.Moves, MoveSlot(key[len(movePrefix):]))
+	case strings.HasPrefix(key, drainPrefix):
+		return stampOf(m.Drains, protocol.Member(key[len(drainPrefix):]))
 	case key == RollKey:
 		return m.Roll
 	case key == FormatKey:
@@ -157,6 +161,8 @@
 		m.Teams[key[len(teamPrefix):]] = stamp
 	case strings.HasPrefix(key, movePrefix):
 		err = put(m.Moves, MoveSlot(key[len(movePrefix):]), data, stamp, decodeMove)
+	case strings.HasPrefix(key, drainPrefix):
+		err = put(m.Drains, protocol.Member(key[len(drainPrefix):]), data, stamp, decodeJSON)
 	case key == RollKey:
 		m.Roll = stamp
 	case key == FormatKey:
@@ -340,6 +346,8 @@
 		delete(m.Members, protocol.Member(key[len(memberPrefix):]))
 	} else if strings.HasPrefix(key, movePrefix) {
 		delete(m.Moves, MoveSlot(key[len(movePrefix):]))
+	} else if strings.HasPrefix(key, drainPrefix) {
+		delete(m.Drains, protocol.Member(key[len(drainPrefix):]))
 	} else if strings.HasPrefix(key, jobPrefix) {
 		delete(m.Jobs, protocol.JobID(key[len(jobPrefix):]))
 		delete(m.Open, protocol.JobID(key[len(jobPrefix):]))
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -23,6 +23,7 @@
 	machines map[protocol.MachineID]*bk.MachineRecord
 	teams    map[string]bool
 	moves    map[bk.MoveSlot]*bk.MoveRecord
+	drains   map[protocol.Member]*drainChange
 	done     map[protocol.JobID]bk.Ranges // tasks that are done by what is in the batch
 	failed   map[protocol.JobID]bool      // daemons of which a replica has ended
 	roll     bool                         // a machine is put on record
@@ -47,7 +48,7 @@
 
 func (c *Core) newBatch(room int) *batch {
 	return &batch{c: c, room: room, when: map[string]protocol.Stamp{}, jobs: map[protocol.JobID]*bk.JobRecord{},
-		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, moves: map[bk.MoveSlot]*bk.MoveRecord{}, done: map[protocol.JobID]bk.Ranges{}, failed: map[protocol.JobID]bool{}}
+		pages: map[bk.PageID]*draft{}, machines: map[protocol.MachineID]*bk.MachineRecord{}, teams: map[string]bool{}, moves: map[bk.MoveSlot]*bk.MoveRecord{}, drains: map[protocol.Member]*drainChange{}, done: map[protocol.JobID]bk.Ranges{}, failed: map[protocol.JobID]bool{}}
 }
 
 // on makes the transaction depend on a key as the replica has it.
@@ -135,6 +136,22 @@
 	b.moves[slot] = record
 }
 
+// drainChange is what becomes of a controller's drain: no record ends it.
+type drainChange struct{ record *bk.DrainRecord }
+
+func (d *drainChange) then(member protocol.Member) protocol.Then {
+	if d.record == nil {
+		return protocol.Then{Delete: bk.DrainKey(member)}
+	}
+	return protocol.Then{Put: bk.DrainKey(member), Data: bk.JSON(d.record)}
+}
+
+// setDrain writes or ends a controller's drain; the caller has asked for room.
+func (b *batch) setDrain(member protocol.Member, change *drainChange) {
+	b.open(bk.DrainKey(member), 50)
+	b.drains[member] = change
+}
+
 // canAdd tells whether one more machine can be put on record.
 func (b *batch) canAdd() bool { return b.hasRoom(2) }
 
@@ -387,7 +404,9 @@
 	b.logs = append(b.logs, Log{l, msg, args})
 }
 
-func (b *batch) empty() bool { return len(b.jobs) == 0 && len(b.pages) == 0 && len(b.moves) == 0 }
+func (b *batch) empty() bool {
+	return len(b.jobs) == 0 && len(b.pages) == 0 && len(b.moves)+len(b.drains) == 0
+}
 
 func (b *batch) multi() protocol.Multi {
 	var m protocol.Multi
@@ -407,6 +426,9 @@
 	for _, slot := range sorted(b.moves) {
 		m.Then = append(m.Then, protocol.Then{Put: bk.MoveKey(slot), Data: bk.JSON(b.moves[slot])})
 	}
+	for _, member := range sorted(b.drains) {
+		m.Then = append(m.Then, b.drains[member].then(member))
+	}
 	if b.roll {
 		m.Then = append(m.Then, protocol.Then{Put: bk.RollKey, Data: bk.JSON(bk.RollRecord{By: b.c.run})})
 	}
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -17,6 +17,11 @@
 	unmarked bool // nothing on record says so
 }
 
+// cutOffFactor is how many times as long machines are waited for where nearly all are
+// silent, so that it may be this node that is cut off. Their workers would have reached
+// another controller by then, which would have been handed them: nobody reaches them.
+const cutOffFactor = 2
+
 // listing is what the cloud's list says of a machine.
 type listing struct {
 	host    protocol.Host
@@ -152,7 +157,9 @@
 		return ""
 	}
 	quiet := c.unheard(m)
-	if l := c.listed[m.id]; l != nil && c.silent(m) && !cutOff {
+	// The list does not come by way of the workers' network: what it no longer has is gone,
+	// also where most machines of this node are silent.
+	if l := c.listed[m.id]; l != nil && c.silent(m) {
 		if l.host.Stage == protocol.HostFailed {
 			return "failed"
 		}
@@ -160,7 +167,7 @@
 			return "no longer listed"
 		}
 	}
-	if quiet > c.cfg.Lease+c.cfg.SilentReturn && !cutOff && m.held == 0 {
+	if given := c.cfg.Lease + c.cfg.SilentReturn; m.held == 0 && (quiet > given && !cutOff || quiet > cutOffFactor*given) {
 		return "silent"
 	}
 	if m.deaf() && c.since(m.deafAt) > c.cfg.Lease+c.cfg.SilentReturn {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -222,6 +222,8 @@
 		c.onDo(v)
 	case MoveRequest:
 		c.onMoveRequest(v)
+	case DrainRequest:
+		c.onDrainRequest(v)
 	case SharesRequest:
 		c.onSharesRequest(v)
 	case HintInput:
@@ -326,7 +328,7 @@
 	}
 	c.tickAt = now.Add(200 * time.Millisecond)
 	c.tickRuns()
-	c.tickMoveRequests()
+	c.tickRequests()
 	c.tickMachines()
 	c.lastResort()
 	c.tickCloud()
--- a/internal/coordination/move_requests.go
+++ b/internal/coordination/move_requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	bk "tillerarch/internal/bookkeeping"
 	"tillerarch/internal/protocol"
@@ -21,6 +20,9 @@
 	To    protocol.Member
 }
 
+// maxMoveName is the longest name of a move, in bytes.
+const maxMoveName = 100
+
 // MoveReply answers a MoveRequest.
 type MoveReply struct {
 	Req  ReqID
@@ -49,6 +51,7 @@
 	Pages    int
 	Machines int
 	Moves    bool // its version takes part in moves on record
+	Draining bool
 }
 
 // PageShare is a page with its owner.
@@ -60,49 +63,29 @@
 	Tasks    int
 }
 
-// RequestError is why a request of an operator is refused.
-type RequestError struct {
-	Reason    string
-	Transient bool // it may be asked again as it is
-}
-
-func (e *RequestError) Error() string { return e.Reason }
-
-func refusal(format string, args ...any) *RequestError {
-	return &RequestError{Reason: fmt.Sprintf(format, args...)}
-}
-
-func transient(reason string) *RequestError { return &RequestError{Reason: reason, Transient: true} }
-
 // noPart refuses a move from or to a controller that would not act on its record.
 func noPart(member protocol.Member) *RequestError {
 	return refusal("controller %q runs a version, or with settings, that take no part in moves on record", member)
 }
 
-// moveRequest is a request that is not on record yet.
-type moveRequest struct {
-	MoveRequest
-	at protocol.Instant
-}
-
-// onMoveRequest takes a request in. What can be refused from the records is refused at once.
+// onMoveRequest takes a request in.
 func (c *Core) onMoveRequest(v MoveRequest) {
-	if err := c.checkMoveRequest(&v); err != nil {
-		c.emit(MoveReply{Req: v.Req, Err: err})
-		return
-	}
-	c.ownership.requests = append(c.ownership.requests, &moveRequest{v, c.now.Steady})
-	c.stirred = true
+	c.request(&pendingRequest{
+		refused: func(err *RequestError) Effect { return MoveReply{Req: v.Req, Err: err} },
+		write: func(b *batch) (Effect, *RequestError) {
+			move, done, err := c.writeMoveRequest(b, &v)
+			if !done || err != nil {
+				return nil, err
+			}
+			return MoveReply{Req: v.Req, Move: move}, nil
+		},
+	}, c.checkMoveRequest(&v))
 }
 
+// checkMoveRequest refuses what can be refused from the records at once.
 func (c *Core) checkMoveRequest(v *MoveRequest) *RequestError {
-	switch {
-	case c.stateDown() || !c.registered():
-		return transient("this controller does not reach the state service")
-	case len(c.ownership.requests) >= maxRequests:
-		return transient("too many requests wait to be written")
-	case v.Name == "" || len(v.Name) > 100:
-		return refusal("a move needs a name of 1 to 100 bytes")
+	if v.Name == "" || len(v.Name) > maxMoveName {
+		return refusal("a move needs a name of 1 to %d bytes", maxMoveName)
 	}
 	if v.Abort || c.moveNamed(v.Name) != nil {
 		return nil
@@ -136,33 +119,8 @@
 	return newest
 }
 
-// writeMoveRequests puts operators' requests on record; each is answered once it is there.
-func (c *Core) writeMoveRequests(b *batch) {
-	c.ownership.requests = slices.DeleteFunc(c.ownership.requests, func(r *moveRequest) bool {
-		move, done, err := c.writeMoveRequest(b, r)
-		if err != nil {
-			c.emit(MoveReply{Req: r.Req, Err: err})
-		} else if done {
-			c.emit(MoveReply{Req: r.Req, Move: move})
-		}
-		return done || err != nil
-	})
-}
-
-// tickMoveRequests gives up on requests that could not be written in time: what was sent
-// for them may still come on record, under their names.
-func (c *Core) tickMoveRequests() {
-	c.ownership.requests = slices.DeleteFunc(c.ownership.requests, func(r *moveRequest) bool {
-		late := c.since(r.at) > requestWait
-		if late {
-			c.emit(MoveReply{Req: r.Req, Err: transient("it could not be written in time; ask again under the same name")})
-		}
-		return late
-	})
-}
-
 // writeMoveRequest writes one request. done: it is on record.
-func (c *Core) writeMoveRequest(b *batch, r *moveRequest) (move bk.MoveRecord, done bool, err *RequestError) {
+func (c *Core) writeMoveRequest(b *batch, r *MoveRequest) (move bk.MoveRecord, done bool, err *RequestError) {
 	if e := c.moveNamed(r.Name); e != nil {
 		if !r.Abort || e.Rec.Phase == bk.MoveAborted {
 			return e.Rec, true, nil
@@ -208,7 +166,7 @@
 
 // requestedPage is the page that a request means: the one it names, or one of the
 // controller that it names with the fewest machines.
-func (c *Core) requestedPage(r *moveRequest) (bk.PageID, *RequestError) {
+func (c *Core) requestedPage(r *MoveRequest) (bk.PageID, *RequestError) {
 	if r.Page == "" {
 		return c.smallestPage(r)
 	}
@@ -227,7 +185,7 @@
 	return r.Page, nil
 }
 
-func (c *Core) smallestPage(r *moveRequest) (best bk.PageID, err *RequestError) {
+func (c *Core) smallestPage(r *MoveRequest) (best bk.PageID, err *RequestError) {
 	if r.Of == r.To {
 		return "", refusal("giver and taker are the same")
 	}
@@ -249,7 +207,6 @@
 // onSharesRequest tells who owns what, as of the replica's revision.
 func (c *Core) onSharesRequest(v SharesRequest) {
 	reply := SharesReply{Req: v.Req, Revision: c.replica.Rev, Stale: !c.fresh()}
-	pages, machines := map[bk.Run]int{}, map[bk.Run]int{}
 	for _, id := range sorted(c.replica.Pages) {
 		p := c.replica.Pages[id]
 		share := PageShare{Page: id, Owner: p.Owner, Epoch: p.Epoch, Machines: len(p.Machines)}
@@ -261,13 +218,9 @@
 			}
 		}
 		reply.Pages = append(reply.Pages, share)
-		pages[p.Owner]++
-		machines[p.Owner] += len(p.Machines)
 	}
 	for _, member := range sorted(c.replica.Members) {
-		rec := c.replica.Members[member].Rec
-		reply.Members = append(reply.Members, ControllerShare{Member: member, Run: rec.Run, Pages: pages[rec.Run],
-			Machines: machines[rec.Run], Moves: rec.Moves})
+		reply.Members = append(reply.Members, c.shareOf(member))
 	}
 	for _, slot := range sorted(c.replica.Moves) {
 		reply.Moves = append(reply.Moves, c.replica.Moves[slot].Rec)
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -25,10 +25,8 @@
 
 // Bounds of the moves under way.
 const (
-	maxArriving  = 2  // to one controller
-	maxPlanned   = 1  // of one plan
-	maxRequests  = 16 // of operators, that wait to be on record
-	requestWait  = 5 * time.Second
+	maxArriving  = 2 // to one controller
+	maxPlanned   = 1 // of one plan
 	gangPatience = 10 * time.Second
 )
 
@@ -45,6 +43,8 @@
 	strained := c.strained()
 	if strained {
 		gap, why = gap/3, shares.WhyStrained
+	} else if c.replica.Draining(c.cfg.Member) {
+		gap, why = gap/3, shares.WhyDrained
 	}
 	if c.since(c.ownership.plannedAt) < gap || !b.hasRoom(1) {
 		return
@@ -77,10 +77,12 @@
 func (c *Core) shareSnapshot(strained bool) shares.Snapshot {
 	s := shares.Snapshot{Self: c.run, Arriving: map[bk.Run]int{}}
 	demand := c.demandByClaim()
-	s.Controllers = append(s.Controllers, shares.Controller{Run: c.run, Strained: strained, Demand: demand[c.run]})
-	for _, p := range c.peers {
+	s.Controllers = append(s.Controllers, shares.Controller{Run: c.run, Strained: strained, Demand: demand[c.run],
+		Draining: c.replica.Draining(c.cfg.Member)})
+	for member, p := range c.peers {
 		if c.since(p.at) <= 3*time.Second && p.hint.StateOK && p.hint.Fit && c.replica.Alive(p.hint.Run) {
-			s.Controllers = append(s.Controllers, shares.Controller{Run: p.hint.Run, Fit: true, Demand: demand[p.hint.Run]})
+			s.Controllers = append(s.Controllers, shares.Controller{Run: p.hint.Run, Fit: true, Demand: demand[p.hint.Run],
+				Draining: c.replica.Draining(member)})
 		}
 	}
 	onTheWay := map[bk.PageID]bk.Run{}
@@ -187,10 +189,9 @@
 	return best, ok
 }
 
-// writeMoves takes the moves on record as far as it is for this controller to do, and
-// puts those on record that operators ask for.
+// writeMoves takes the moves on record as far as it is for this controller to do.
 func (c *Core) writeMoves(b *batch) {
-	if len(c.replica.Moves)+len(c.ownership.requests) == 0 {
+	if len(c.replica.Moves) == 0 {
 		return
 	}
 	kept := c.keptForGangs()
@@ -210,7 +211,6 @@
 			c.stepMove(b, slot, step)
 		}
 	}
-	c.writeMoveRequests(b)
 }
 
 // moveProgress is how this controller sees a move.
--- a/internal/coordination/ownership.go
+++ b/internal/coordination/ownership.go
@@ -18,8 +18,8 @@
 	plannedAt  protocol.Instant            // when moves were last planned
 	gaveAt     protocol.Instant            // when machines last left because this controller was no good for them
 	moves      map[bk.MoveSlot]moveWatch
-	requests   []*moveRequest // of operators, that are not on record yet
-	moveNumber int            // of the last move that was named
+	requests   []*pendingRequest // of operators, that are not on record yet
+	moveNumber int               // of the last move that was named
 }
 
 func newOwnership() ownership {
@@ -65,11 +65,23 @@
 
 // heir tells whether this node is the one to take over what key names.
 func (c *Core) heir(key string) bool {
-	var living []protocol.Member
+	return c.heirAmong(key, func(protocol.Member) bool { return true })
+}
+
+// heirAmong tells the same where some controllers come before all others.
+func (c *Core) heirAmong(key string, first func(protocol.Member) bool) bool {
+	var living, preferred []protocol.Member
 	for member, e := range c.replica.Members {
-		if e.Rec.Run != "" {
-			living = append(living, member)
+		if e.Rec.Run == "" {
+			continue
 		}
+		living = append(living, member)
+		if first(member) {
+			preferred = append(preferred, member)
+		}
+	}
+	if len(preferred) > 0 {
+		living = preferred
 	}
 	return shares.Heir(living, key) == c.cfg.Member
 }
@@ -80,7 +92,7 @@
 	if _, move := c.replica.MoveOf(id); move != nil && move.Rec.Phase.Pending() && c.replica.Alive(move.Rec.To) {
 		return move.Rec.To == c.run
 	}
-	return c.heir(bk.PageKey(id))
+	return c.heirAmong(bk.PageKey(id), func(m protocol.Member) bool { return !c.replica.Draining(m) })
 }
 
 // writeOwners writes what changes of ownership there are: machines that report here and
@@ -91,6 +103,7 @@
 		c.writeTakeovers(b)
 	}
 	c.writeMoves(b)
+	c.writeRequests(b)
 	if len(c.ownership.deadAt) == 0 {
 		c.planMoves(b)
 	}
--- a/internal/shares/move.go
+++ b/internal/shares/move.go
@@ -47,6 +47,7 @@
 	WhyOperator    = "aborted by the operator"
 	WhyTakenOver   = "the page was taken over from its dead owner"
 	WhyLoad        = "the taker has less to do"
+	WhyDrained     = "the giver is drained"
 	WhyStrained    = "the giver falls behind"
 	WhyReportThere = "the workers report there"
 )
--- a/internal/shares/plan.go
+++ b/internal/shares/plan.go
@@ -15,6 +15,8 @@
 	Fit bool
 	// It falls behind: whatever it has is better off elsewhere.
 	Strained bool
+	// An operator has it drained: it gives all it has, and gets none.
+	Draining bool
 	Demand   float64 // cores that the unfinished jobs it has claimed ask for
 }
 
@@ -57,6 +59,9 @@
 	arriving int
 }
 
+// leaves tells whether whatever the controller has is better off elsewhere.
+func (s *share) leaves() bool { return s.Strained || s.Draining }
+
 // level is the load by what is wanted: the same for all in a balanced fleet.
 func (s *share) level() float64 { return s.load / s.want }
 
@@ -95,13 +100,16 @@
 // sharesOf sums up what each controller has and should have.
 func sharesOf(s Snapshot, policy Policy) map[bk.Run]*share {
 	shares := map[bk.Run]*share{}
-	demand := 0.0
+	demand, staying := 0.0, 0
 	for _, c := range s.Controllers {
 		shares[c.Run] = &share{Controller: c, arriving: s.Arriving[c.Run]}
 		demand += c.Demand
+		if !c.Draining {
+			staying++
+		}
 	}
 	for _, sh := range shares {
-		sh.want = 1 / float64(len(shares))
+		sh.want = 1 / float64(max(staying, 1))
 		if demand > 0 {
 			sh.want = (1-policy.ByDemand)*sh.want + policy.ByDemand*sh.Demand/demand
 		}
@@ -132,10 +140,10 @@
 func lowest(shares map[bk.Run]*share, giver *share, maxArriving int) *share {
 	var best *share
 	for _, sh := range shares {
-		if sh == giver || !sh.Fit || sh.Strained || sh.arriving >= maxArriving || sh.want <= 0 {
+		if sh == giver || !sh.Fit || sh.leaves() || sh.arriving >= maxArriving || sh.want <= 0 {
 			continue
 		}
-		if !giver.Strained && 4*sh.level() >= 3*giver.level() {
+		if !giver.leaves() && 4*sh.level() >= 3*giver.level() {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(sh.level(), best.level()), cmp.Compare(sh.Run, best.Run)) < 0 {
@@ -145,8 +153,7 @@
 	return best
 }
 
-// improves tells whether the levels of both are better off with a move. Whatever a
-// strained giver has is better off elsewhere.
+// improves tells whether the levels of both are better off with a move.
 func improves(giver, taker *share, size float64) bool {
-	return giver.Strained || (taker.load+size)/taker.want < giver.level()
+	return giver.leaves() || (taker.load+size)/taker.want < giver.level()
 }
--- a/internal/shares/plan_test.go
+++ b/internal/shares/plan_test.go
@@ -39,6 +39,8 @@
 		{"an unfit one gets none", []Controller{a, unfit}, pagesOf("a#1", 8), nil, testPolicy, ""},
 		{"enough on their way", []Controller{a, b}, pagesOf("a#1", 8), map[bk.Run]int{"b#1": 2}, testPolicy, ""},
 		{"a strained one gives its last", []Controller{strained, b}, append(pagesOf("a#1", 1), pagesOf("b#1", 6)...), nil, testPolicy, "b#1"},
+		{"a drained one gives its last", []Controller{{Run: "a#1", Draining: true}, b}, append(pagesOf("a#1", 1), pagesOf("b#1", 6)...), nil, testPolicy, "b#1"},
+		{"a drained one gets none", []Controller{a, {Run: "b#1", Fit: true, Draining: true}}, pagesOf("a#1", 8), nil, testPolicy, ""},
 		{"nothing to give", []Controller{a, b}, pagesOf("b#1", 6), nil, testPolicy, ""},
 		{"fixed pages stay", []Controller{a, b}, []Page{{ID: "p", Owner: "a#1", Size: 5, Fixed: true}}, nil, testPolicy, ""},
 		{"demand draws machines", []Controller{a, demanding}, append(pagesOf("a#1", 6), pagesOf("b#1", 6)...), nil,
@@ -92,7 +94,7 @@
 				i := slices.IndexFunc(s.Pages, func(p Page) bool { return p.ID == m.Page })
 				j := slices.IndexFunc(s.Controllers, func(c Controller) bool { return c.Run == m.To })
 				arriving[m.To]++
-				if s.Pages[i].Owner != m.From || s.Pages[i].Fixed || !s.Controllers[j].Fit || s.Controllers[j].Strained || m.From == m.To {
+				if s.Pages[i].Owner != m.From || s.Pages[i].Fixed || !s.Controllers[j].Fit || s.Controllers[j].Strained || s.Controllers[j].Draining || m.From == m.To {
 					t.Fatalf("%+v must not move: %+v", m, s)
 				}
 				if arriving[m.To] > policy.MaxArriving {
@@ -113,6 +115,8 @@
 		case 0:
 		case 1:
 			c.Strained = true
+		case 2:
+			c.Fit, c.Draining = true, true
 		default:
 			c.Fit = true
 		}
--- a/internal/standin/move_requests_test.go
+++ b/internal/standin/move_requests_test.go
@@ -12,18 +12,27 @@
 	"tillerarch/internal/protocol"
 )
 
-// asked is what an operator hears of a request; it waits for the answer.
-func (w *World) asked(t *testing.T, n *Node, request coordination.MoveRequest) coordination.MoveReply {
+// ask is what an operator hears of a request; it waits for the answer.
+func ask(t *testing.T, w *World, n *Node, request func(coordination.ReqID) coordination.Input) coordination.Effect {
 	t.Helper()
-	var reply *coordination.MoveReply
-	n.Move(request, func(r coordination.MoveReply) { reply = &r })
+	var reply coordination.Effect
+	n.Operator(request, func(e coordination.Effect) { reply = e })
 	for end := w.Now + 8*time.Second; reply == nil && w.Now < end; {
 		w.Run(50 * time.Millisecond)
 	}
 	if reply == nil {
-		t.Fatalf("no answer to %+v", request)
+		t.Fatal("no answer to an operator's request")
 	}
-	return *reply
+	return reply
+}
+
+// asked is what an operator hears who asks for a move.
+func (w *World) asked(t *testing.T, n *Node, request coordination.MoveRequest) coordination.MoveReply {
+	t.Helper()
+	return ask(t, w, n, func(id coordination.ReqID) coordination.Input {
+		request.Req = id
+		return request
+	}).(coordination.MoveReply)
 }
 
 // pagesOf lists the pages of a controller.
@@ -164,6 +173,58 @@
 	}
 }
 
+// A drained controller gives all its pages while jobs run, and is given none, also as
+// another process; then it takes part again. The last one can't be drained.
+func TestDrainedController(t *testing.T) {
+	w := movingWorld(t, 12)
+	ids := submitMix(w, 20)
+	drain := func(at, member *Node, on bool) coordination.DrainReply {
+		return ask(t, w, at, func(id coordination.ReqID) coordination.Input {
+			return coordination.DrainRequest{Req: id, Member: member.Member, Drain: on}
+		}).(coordination.DrainReply)
+	}
+	w.Run(12 * time.Second)
+	a, b, c := w.Nodes[0], w.Nodes[1], w.Nodes[2]
+	for range 2 { // asked again it does nothing more
+		if r := drain(b, a, true); r.Err != nil || !r.Share.Draining {
+			t.Fatalf("%+v", r)
+		}
+	}
+	w.Run(30 * time.Second)
+	if left := w.ownedBy(a); left > 0 {
+		t.Errorf("%d machines are left", left)
+	}
+	w.bounce(w.History.living[bk.MemberKey(a.Member)], time.Second)
+	w.Run(30 * time.Second)
+	if left := w.ownedBy(a); left > 0 {
+		t.Errorf("%d machines were given to the next process", left)
+	}
+	if r := drain(b, b, true); r.Err != nil {
+		t.Errorf("%+v", r)
+	}
+	if r := drain(b, c, true); r.Err == nil || !strings.Contains(r.Err.Error(), "no other controller") {
+		t.Errorf("the last one: %+v", r)
+	}
+	if r := drain(b, &Node{Member: "stall-9"}, true); r.Err == nil || !strings.Contains(r.Err.Error(), "stall-9") {
+		t.Errorf("an unknown one: %+v", r)
+	}
+	w.Run(20 * time.Second)
+	if w.ownedBy(a)+w.ownedBy(b) > 0 || w.ownedBy(c) == 0 {
+		t.Errorf("shares of %d, %d and %d machines", w.ownedBy(a), w.ownedBy(b), w.ownedBy(c))
+	}
+	for _, n := range []*Node{a, b} {
+		if r := drain(c, n, false); r.Err != nil || r.Share.Draining {
+			t.Errorf("%+v", r)
+		}
+	}
+	w.Run(100 * time.Second)
+	w.Rules.End(w.Now)
+	if len(w.pagesOf(a))+len(w.pagesOf(b)) == 0 {
+		t.Errorf("nothing has come back")
+	}
+	checkMoved(t, w, 12, ids, 3)
+}
+
 // A controller that comes back late is given pages by moves on record, unasked, until the
 // shares are even; then nothing moves any more.
 func TestPlannedMovesComeToRest(t *testing.T) {
--- a/internal/standin/moves_test.go
+++ b/internal/standin/moves_test.go
@@ -79,8 +79,10 @@
 		number++
 		from, asked := w.Rng.IntN(len(w.Nodes)), w.Rng.IntN(len(w.Nodes))
 		to := (from + 1 + w.Rng.IntN(len(w.Nodes)-1)) % len(w.Nodes)
-		w.Nodes[asked].Move(coordination.MoveRequest{Name: fmt.Sprintf("drill-%d", number), Of: w.Nodes[from].Member, To: w.Nodes[to].Member},
-			func(coordination.MoveReply) {})
+		name := fmt.Sprintf("drill-%d", number)
+		w.Nodes[asked].Operator(func(id coordination.ReqID) coordination.Input {
+			return coordination.MoveRequest{Req: id, Name: name, Of: w.Nodes[from].Member, To: w.Nodes[to].Member}
+		}, func(coordination.Effect) {})
 		w.At(time.Duration(float64(every)*(0.5+w.Rng.Float64())), again)
 	}
 	w.At(5*time.Second, again)
@@ -193,6 +195,13 @@
 		{"all running jobs are cancelled as a page has passed", 10, func(w *World) {
 			w.onPhase(bk.MoveTransferred, each(5, func(bk.MoveRecord) { w.cancelRunning(3) }))
 		}},
+		{"records are packed and the limits tighten on the way", 10, func(w *World) {
+			w.Config.NextLimits = &coordination.WriteLimits{RPS: 28, TxnOps: 6, ValueBytes: 2048}
+			for _, n := range w.Nodes {
+				n.Start()
+			}
+			w.At(40*time.Second, func() { w.State.Value, w.State.Ops = 2048, 6 })
+		}},
 		{"a controller runs the version in production", 5, func(w *World) {
 			w.Nodes[2].Kill()
 			w.Nodes[2].Old = true
--- a/internal/standin/versions.go
+++ b/internal/standin/versions.go
@@ -110,7 +110,7 @@
 		n.w.Rules.broken("unreadable", "%s for %s of the version in production: %v", key, n.Member, err)
 		return false
 	}
-	return key != bk.FormatKey && !strings.HasPrefix(key, bk.MoveKey(""))
+	return key != bk.FormatKey && !strings.HasPrefix(key, bk.MoveKey("")) && !strings.HasPrefix(key, bk.DrainKey(""))
 }
 
 // asRead is what the controller's version takes in of all records.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -57,7 +57,7 @@
 	reqs     map[coordination.ReqID]func(int, []byte)
 	nextReq  coordination.ReqID
 
-	moveReplies map[coordination.ReqID]func(coordination.MoveReply)
+	operators map[coordination.ReqID]func(coordination.Effect) // that wait for an answer
 }
 
 // World is a whole deployment in simulated time.
@@ -186,7 +186,7 @@
 	n.life++
 	n.started = n.w.Now
 	n.reqs = map[coordination.ReqID]func(int, []byte){}
-	n.moveReplies = map[coordination.ReqID]func(coordination.MoveReply){}
+	n.operators = map[coordination.ReqID]func(coordination.Effect){}
 	cfg := n.w.Config
 	cfg.Member = n.Member
 	for _, o := range n.w.Nodes {
@@ -275,10 +275,9 @@
 			f(v.Status, v.Body)
 		}
 	case coordination.MoveReply:
-		if f := n.moveReplies[v.Req]; f != nil {
-			delete(n.moveReplies, v.Req)
-			f(v)
-		}
+		n.answerOperator(v.Req, v)
+	case coordination.DrainReply:
+		n.answerOperator(v.Req, v)
 	case coordination.Log:
 		if w.Trace != nil {
 			w.Trace(fmt.Sprintf("%8.3f %s %s %v", w.Now.Seconds(), n.Member, v.Msg, v.Args))
@@ -584,15 +583,22 @@
 	n.step(in(n.nextReq))
 }
 
-// Move asks a controller, as an operator does, to move or abort a move of a page.
-func (n *Node) Move(request coordination.MoveRequest, tell func(coordination.MoveReply)) {
+// Operator asks a controller something, as an operator's tool does.
+func (n *Node) Operator(request func(coordination.ReqID) coordination.Input, tell func(coordination.Effect)) {
 	if !n.Alive {
 		return
 	}
 	n.nextReq++
-	request.Req = n.nextReq
-	n.moveReplies[request.Req] = tell
-	n.step(request)
+	n.operators[n.nextReq] = tell
+	n.step(request(n.nextReq))
+}
+
+// answerOperator hands an answer to the operator who waits for it.
+func (n *Node) answerOperator(id coordination.ReqID, e coordination.Effect) {
+	if tell := n.operators[id]; tell != nil {
+		delete(n.operators, id)
+		tell(e)
+	}
 }
 
 // balance picks a controller as the load balancer does: a healthy one if there is one.
