--- a/cmd/tillerarch/operators.go
+++ b/cmd/tillerarch/operators.go
@@ -44,16 +44,25 @@
 	}
 }
 
+// askFor asks the core and wants an answer of a type.
+func askFor[Reply coordination.Effect](ctx context.Context, d *daemon, request func(coordination.ReqID) coordination.Input) (reply Reply, err error) {
+	e, err := d.askCore(ctx, request)
+	if err != nil {
+		return reply, err
+	}
+	reply, ok := e.(Reply)
+	if !ok {
+		return reply, fmt.Errorf("unexpected answer %T", e)
+	}
+	return reply, nil
+}
+
 // Shares tells who owns which machines.
 func (o operators) Shares(ctx context.Context, _ *admin.SharesRequest) (*admin.Shares, error) {
-	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input { return coordination.SharesRequest{Req: id} })
+	reply, err := askFor[coordination.SharesReply](ctx, o.d, func(id coordination.ReqID) coordination.Input { return coordination.SharesRequest{Req: id} })
 	if err != nil {
 		return nil, err
 	}
-	reply, ok := e.(coordination.SharesReply)
-	if !ok {
-		return nil, fmt.Errorf("unexpected answer %T", e)
-	}
 	return sharesMessage(&reply), nil
 }
 
@@ -64,16 +73,12 @@
 
 // Drain has a controller's drain put on record, or its end.
 func (o operators) Drain(ctx context.Context, r *admin.DrainRequest) (*admin.Controller, error) {
-	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input {
+	reply, err := askFor[coordination.DrainReply](ctx, o.d, func(id coordination.ReqID) coordination.Input {
 		return coordination.DrainRequest{Req: id, Member: protocol.Member(r.Member), Drain: r.Drain}
 	})
 	if err != nil {
 		return nil, err
 	}
-	reply, ok := e.(coordination.DrainReply)
-	if !ok {
-		return nil, fmt.Errorf("unexpected answer %T", e)
-	}
 	if reply.Err != nil {
 		return nil, asRefusal(reply.Err)
 	}
@@ -96,17 +101,13 @@
 }
 
 func (o operators) move(ctx context.Context, request coordination.MoveRequest) (*admin.Move, error) {
-	e, err := o.d.askCore(ctx, func(id coordination.ReqID) coordination.Input {
+	reply, err := askFor[coordination.MoveReply](ctx, o.d, func(id coordination.ReqID) coordination.Input {
 		request.Req = id
 		return request
 	})
 	if err != nil {
 		return nil, err
 	}
-	reply, ok := e.(coordination.MoveReply)
-	if !ok {
-		return nil, fmt.Errorf("unexpected answer %T", e)
-	}
 	if reply.Err != nil {
 		return nil, asRefusal(reply.Err)
 	}
--- a/cmd/tillerarch/shares.go
+++ b/cmd/tillerarch/shares.go
@@ -16,6 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"tillerarch/internal/admin"
+	bk "tillerarch/internal/bookkeeping"
 )
 
 // Exit codes of the operators' commands.
@@ -203,7 +204,7 @@
 	if err := t.print(out, move, func(w io.Writer) { printMoves(w, []admin.Move{*move}) }); err != nil {
 		return err
 	}
-	if move.Phase == "aborted" {
+	if bk.MovePhase(move.Phase) == bk.MoveAborted {
 		return &commandError{exitAborted, "the move was aborted: " + move.Why}
 	}
 	return nil
@@ -212,22 +213,34 @@
 // pollInterval is the pause between two looks at what a command waits for.
 const pollInterval = 300 * time.Millisecond
 
-// awaitEnd waits until a move has ended.
-func awaitEnd(ctx context.Context, client *admin.Client, move *admin.Move, wait time.Duration) (*admin.Move, error) {
-	for deadline := time.Now().Add(wait); move.Phase != "closed" && move.Phase != "aborted"; {
-		if time.Now().After(deadline) {
-			return nil, &admin.Refusal{Reason: fmt.Sprintf("move %s is %s; it goes on, ask `shares history`", move.Name, move.Phase), Again: true}
-		}
-		time.Sleep(pollInterval)
+// await asks for the shares until look is content with them, or the time is over; late
+// tells then what is still missing.
+func await(ctx context.Context, client *admin.Client, wait time.Duration, look func(*admin.Shares) (done bool, err error), late func() string) error {
+	for deadline := time.Now().Add(wait); ; time.Sleep(pollInterval) {
 		s, err := client.Shares(ctx)
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if done, err := look(s); done || err != nil {
+			return err
 		}
+		if time.Now().After(deadline) {
+			return &admin.Refusal{Reason: late(), Again: true}
+		}
+	}
+}
+
+// awaitEnd waits until a move has ended.
+func awaitEnd(ctx context.Context, client *admin.Client, move *admin.Move, wait time.Duration) (*admin.Move, error) {
+	err := await(ctx, client, wait, func(s *admin.Shares) (bool, error) {
 		if i := slices.IndexFunc(s.Moves, func(m admin.Move) bool { return m.Name == move.Name }); i >= 0 {
 			move = &s.Moves[i]
 		}
-	}
-	return move, nil
+		return !bk.MovePhase(move.Phase).Open(), nil
+	}, func() string {
+		return fmt.Sprintf("move %s is %s; it goes on, ask `shares history`", move.Name, move.Phase)
+	})
+	return move, err
 }
 
 func (t *tool) abortCommand() *cobra.Command {
@@ -265,20 +278,15 @@
 
 // awaitEmpty waits until a controller owns no machines.
 func awaitEmpty(ctx context.Context, client *admin.Client, c *admin.Controller, wait time.Duration) (*admin.Controller, error) {
-	for deadline := time.Now().Add(wait); c.Machines > 0; {
-		if time.Now().After(deadline) {
-			return nil, &admin.Refusal{Reason: fmt.Sprintf("%s still owns %d machines; it goes on giving them away", c.Member, c.Machines), Again: true}
-		}
-		time.Sleep(pollInterval)
-		s, err := client.Shares(ctx)
-		if err != nil {
-			return nil, err
-		}
+	err := await(ctx, client, wait, func(s *admin.Shares) (bool, error) {
 		i := slices.IndexFunc(s.Controllers, func(o admin.Controller) bool { return o.Member == c.Member })
 		if i < 0 {
-			return nil, &admin.Refusal{Reason: fmt.Sprintf("%s has ended; others take its machines over", c.Member), Again: true}
+			return false, &admin.Refusal{Reason: fmt.Sprintf("%s has ended; others take its machines over", c.Member), Again: true}
 		}
 		c = &s.Controllers[i]
-	}
-	return c, nil
+		return c.Machines == 0, nil
+	}, func() string {
+		return fmt.Sprintf("%s still owns %d machines; it goes on giving them away", c.Member, c.Machines)
+	})
+	return c, err
 }
--- a/internal/loopback/moves_test.go
+++ b/internal/loopback/moves_test.go
@@ -248,7 +248,7 @@
 	failures.Wait()
 	took := time.Since(began)
 	settle(f, jobs)
-	f.Do(func(w *standin.World) { judge(t, w, jobs, c.counts, took) })
+	f.Do(func(w *standin.World) { judge(t, w, jobs, wanted(), c.counts, took) })
 }
 
 // settle ends all troubles and lets the jobs come to their end.
@@ -285,7 +285,7 @@
 }
 
 // judge checks the whole run, and says what was measured.
-func judge(t *testing.T, w *standin.World, jobs *arrivals, failures map[string]int, took time.Duration) {
+func judge(t *testing.T, w *standin.World, jobs *arrivals, wanted int, failures map[string]int, took time.Duration) {
 	w.Rules.End(w.Now)
 	h := w.History
 	if len(w.Rules.Broken) > 0 {
@@ -297,8 +297,8 @@
 	if open := h.Open(); len(open) > 0 {
 		t.Errorf("moves that hang: %v", open)
 	}
-	if h.Passed < wanted() {
-		t.Errorf("%d pages have changed hands in %v, %d are asked for; aborted %v", h.Passed, took, wanted(), h.Aborted)
+	if h.Passed < wanted {
+		t.Errorf("%d pages have changed hands in %v, %d are asked for; aborted %v", h.Passed, took, wanted, h.Aborted)
 	}
 	t.Logf("%d jobs, %d tasks begun, %d revisions; %d pages with %d machines passed in %v, aborted %v", len(jobs.ids), w.Rules.Started, h.Revisions,
 		h.Passed, h.Machines, took.Round(time.Second), h.Aborted)
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -194,6 +194,16 @@
 	h.Passed++
 }
 
+// OwnedBy counts the machines of a controller.
+func (w *World) OwnedBy(n *Node) (machines int) {
+	for _, page := range w.History.pages {
+		if page.Owner.Member() == n.Member {
+			machines += len(page.Machines)
+		}
+	}
+	return machines
+}
+
 // Open lists the moves that are not at their end.
 func (h *History) Open() (names []string) {
 	for _, record := range h.moves {
--- a/internal/standin/large_fleet_test.go
+++ b/internal/standin/large_fleet_test.go
@@ -14,10 +14,10 @@
 	w := largeWorld(machines)
 	w.Run(40 * time.Second)
 	lost := w.Nodes[0]
-	owned := w.ownedBy(lost)
+	owned := w.OwnedBy(lost)
 	lost.NoWorker = true
 	cut := w.Now
-	for w.ownedBy(lost) > 0 && w.Now < cut+w.Lease {
+	for w.OwnedBy(lost) > 0 && w.Now < cut+w.Lease {
 		w.Run(time.Second)
 	}
 	sessions := 0
@@ -26,19 +26,9 @@
 			sessions++
 		}
 	}
-	t.Logf("%d machines handed over in %v", owned-w.ownedBy(lost), w.Now-cut)
-	if owned < machines/5 || w.ownedBy(lost) > 0 || sessions > 0 || len(w.Rules.Broken) > 0 {
+	t.Logf("%d machines handed over in %v", owned-w.OwnedBy(lost), w.Now-cut)
+	if owned < machines/5 || w.OwnedBy(lost) > 0 || sessions > 0 || len(w.Rules.Broken) > 0 {
 		t.Errorf("%d of %d machines are still with a controller that lost its workers %v ago; %d leases ran out; broken %v",
-			w.ownedBy(lost), owned, w.Now-cut, sessions, w.Rules.Broken)
+			w.OwnedBy(lost), owned, w.Now-cut, sessions, w.Rules.Broken)
 	}
 }
-
-// ownedBy counts the machines of a controller.
-func (w *World) ownedBy(n *Node) (machines int) {
-	for _, page := range w.History.pages {
-		if page.Owner.Member() == n.Member {
-			machines += len(page.Machines)
-		}
-	}
-	return machines
-}
--- a/internal/standin/move_requests_test.go
+++ b/internal/standin/move_requests_test.go
@@ -191,12 +191,12 @@
 		}
 	}
 	w.Run(30 * time.Second)
-	if left := w.ownedBy(a); left > 0 {
+	if left := w.OwnedBy(a); left > 0 {
 		t.Errorf("%d machines are left", left)
 	}
 	w.bounce(w.History.living[bk.MemberKey(a.Member)], time.Second)
 	w.Run(30 * time.Second)
-	if left := w.ownedBy(a); left > 0 {
+	if left := w.OwnedBy(a); left > 0 {
 		t.Errorf("%d machines were given to the next process", left)
 	}
 	if r := drain(b, b, true); r.Err != nil {
@@ -209,8 +209,8 @@
 		t.Errorf("an unknown one: %+v", r)
 	}
 	w.Run(20 * time.Second)
-	if w.ownedBy(a)+w.ownedBy(b) > 0 || w.ownedBy(c) == 0 {
-		t.Errorf("shares of %d, %d and %d machines", w.ownedBy(a), w.ownedBy(b), w.ownedBy(c))
+	if w.OwnedBy(a)+w.OwnedBy(b) > 0 || w.OwnedBy(c) == 0 {
+		t.Errorf("shares of %d, %d and %d machines", w.OwnedBy(a), w.OwnedBy(b), w.OwnedBy(c))
 	}
 	for _, n := range []*Node{a, b} {
 		if r := drain(c, n, false); r.Err != nil || r.Share.Draining {
--- a/internal/standin/zone_test.go
+++ b/internal/standin/zone_test.go
@@ -42,7 +42,7 @@
 		w.Run(220 * time.Second)
 		on := 0
 		for _, n := range w.Nodes {
-			on += w.ownedBy(n)
+			on += w.OwnedBy(n)
 		}
 		if !w.Done[d.UID] || on != 3 || len(w.Rules.Broken) > 0 {
 			t.Errorf("%s: done %v, %d machines on record of 3 that are left, broken %v", c.name, w.Done[d.UID], on, w.Rules.Broken)
