--- a/internal/admin/codec.go
+++ b/internal/admin/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync"
 
 	"google.golang.org/grpc/encoding"
 )
@@ -17,5 +18,6 @@
 func (jsonCodec) Name() string                       { return codecName }
 
 // registerCodec makes the codec known to gRPC. It is called by who serves or dials, so
-// that a process which does neither has nothing to set up.
-func registerCodec() { encoding.RegisterCodec(jsonCodec{}) }
+// that a process which does neither has nothing to set up; once, as gRPC reads its codecs
+// without a lock.
+var registerCodec = sync.OnceFunc(func() { encoding.RegisterCodec(jsonCodec{}) })
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -513,13 +513,15 @@
 
 // joinPages puts what is left on a page that has lost most of its machines onto
 // another page of this run: each page costs a change of its own whenever something
-// begins or ends there. One at a time, and only to where tokens do not fall.
+// begins or ends there. One at a time, and only to where tokens do not fall. Pages with an
+// open move stay as they are until it has ended.
 func (c *Core) joinPages(b *batch) {
 	if c.now.Steady < c.joinAt || !b.hasRoom(2) {
 		return
 	}
 	c.joinAt = c.now.Steady.Add(c.cfg.BalanceGap)
-	own := c.ownPages()
+	moving := c.movingPages()
+	own := slices.DeleteFunc(c.ownPages(), func(id bk.PageID) bool { return moving[id] })
 	load := map[bk.PageID]int{}
 	for _, id := range own {
 		p := c.replica.Pages[id]
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -325,6 +325,17 @@
 	b.putMove(slot, &record)
 }
 
+// movingPages lists the pages that have an open move.
+func (c *Core) movingPages() map[bk.PageID]bool {
+	moving := map[bk.PageID]bool{}
+	for _, e := range c.replica.Moves {
+		if e.Rec.Phase.Open() {
+			moving[e.Rec.Page] = true
+		}
+	}
+	return moving
+}
+
 // restingPages lists the pages on which nothing new may begin: they are prepared for a
 // move.
 func (c *Core) restingPages() map[bk.PageID]bool {
