Pages with a move are listed in one place; a report asks for its own page only

Read again: two functions differed in one condition, and each answer to a report built a list of all pages at rest to look one up. No change of behaviour.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -520,7 +520,7 @@
 		return
 	}
 	c.joinAt = c.now.Steady.Add(c.cfg.BalanceGap)
-	moving := c.movingPages()
+	moving := c.movingPages(bk.MovePhase.Open)
 	own := slices.DeleteFunc(c.ownPages(), func(id bk.PageID) bool { return moving[id] })
 	load := map[bk.PageID]int{}
 	for _, id := range own {
--- a/internal/coordination/core.go
+++ b/internal/coordination/core.go
@@ -315,7 +315,7 @@
 			h.Run = c.run
 			c.withdrawalHint(&h)
 			h.Fit = c.fit()
-			if more := c.seenHint(&h); more {
+			if c.seenHint(&h) {
 				c.hintAt = now.Add(c.jitter(moreHints))
 			}
 		}
--- a/internal/coordination/drain_requests.go
+++ b/internal/coordination/drain_requests.go
@@ -33,10 +33,7 @@
 // checkDrain refuses to drain a controller that nobody knows, and the last one that could
 // take machines.
 func (c *Core) checkDrain(v *DrainRequest) *RequestError {
-	if v.Drain == c.replica.Draining(v.Member) {
-		return nil
-	}
-	if !v.Drain {
+	if !v.Drain || c.replica.Draining(v.Member) {
 		return nil
 	}
 	if c.replica.Members[v.Member] == nil {
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -325,25 +325,26 @@
 	b.putMove(slot, &record)
 }
 
-// movingPages lists the pages that have an open move.
-func (c *Core) movingPages() map[bk.PageID]bool {
+// movingPages lists the pages that have a move in one of the phases.
+func (c *Core) movingPages(in func(bk.MovePhase) bool) map[bk.PageID]bool {
 	moving := map[bk.PageID]bool{}
 	for _, e := range c.replica.Moves {
-		if e.Rec.Phase.Open() {
+		if in(e.Rec.Phase) {
 			moving[e.Rec.Page] = true
 		}
 	}
 	return moving
 }
 
-// restingPages lists the pages on which nothing new may begin: they are prepared for a
-// move.
-func (c *Core) restingPages() map[bk.PageID]bool {
-	resting := map[bk.PageID]bool{}
+// isPrepared tells whether nothing new may begin on a page with a move in this phase.
+func isPrepared(phase bk.MovePhase) bool { return phase == bk.MovePrepared }
+
+// atRest tells whether nothing new may begin on a page. It is asked for each report.
+func (c *Core) atRest(page bk.PageID) bool {
 	for _, e := range c.replica.Moves {
-		if e.Rec.Phase == bk.MovePrepared {
-			resting[e.Rec.Page] = true
+		if e.Rec.Page == page && isPrepared(e.Rec.Phase) {
+			return true
 		}
 	}
-	return resting
+	return false
 }
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -363,7 +363,7 @@
 			out = append(out, protocol.Order{Verb: protocol.Stop, Task: p.Task, Try: p.Try, WindDownS: &g})
 		}
 	}
-	if !inAnswer || !fresh || rep.Session != rec.Session || rec.Releasing || m.deaf() || c.restingPages()[rec.Page] {
+	if !inAnswer || !fresh || rep.Session != rec.Session || rec.Releasing || m.deaf() || c.atRest(rec.Page) {
 		return out
 	}
 	for i := range rec.Assigned {
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -81,7 +81,7 @@
 	for i := range c.flavors {
 		flavors[c.flavors[i].Sku] = &c.flavors[i]
 	}
-	resting := c.restingPages()
+	resting := c.movingPages(isPrepared)
 	orders := map[*protocol.Job]int{}
 	for _, e := range list {
 		id, rec := e.ID, &e.Rec
