--- a/review/cmd/team-limit/main.go
+++ b/review/cmd/team-limit/main.go
@@ -19,13 +19,13 @@
 )
 
 // oneTaskJobs submits the small jobs of another team, which stays far below its limit,
-// some three a second.
+// four a second.
 func oneTaskJobs(w *world.World, end time.Time) {
 	for i := 0; time.Now().Before(end); i++ {
 		job := &world.Job{UID: fmt.Sprintf("j-9%05d", i), Lane: "cert-replay", Desk: "members", Shape: "batch", Rank: "critical",
 			Pieces: 1, Cores: 1, MemGB: 1, Bundle: "img-3", PullGB: 1, Builds: []string{"kiosk"}, ReckonS: 3, RunTime: 3 * time.Second}
 		go w.Submit(-1, job)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 	}
 }
 
