--- a/review/cmd/long-description/main.go
+++ b/review/cmd/long-description/main.go
@@ -115,8 +115,10 @@
 	waited := time.Duration(0)
 	for waited < 90*time.Second && w.Done("j-000002") < long.Pieces {
 		time.Sleep(500 * time.Millisecond)
-		if free := w.FreeFor("ghala", 30, 51); free > 0 && w.On("j-000002") == 0 {
+		if w.FreeFor("ghala", 30, 51) > 0 && w.On("j-000002") == 0 {
 			waited += 500 * time.Millisecond
+		} else {
+			waited = 0 // the 90 s are counted without a break
 		}
 		if int(waited.Milliseconds())%5000 == 0 {
 			w.Poll("j-000002")
