A repeated submission of a known job is answered with its state, whatever its length

Cause: onSubmitInput compared the description with the announced limits before it looked whether the job is known. Change: new jobs only are judged. As for jobs that can never run, a job is rejected only once a read of the store's revision shows that no controller has accepted it; the rejection is logged.

--- a/internal/coordination/requests/deferred_requests.go
+++ b/internal/coordination/requests/deferred_requests.go
@@ -147,6 +147,10 @@
 	switch {
 	case !u.knowsMachineTypes():
 		u.rejectUnavailable(request.requestID)
+	case !u.JobRecordFits(request.job):
+		u.Log(slog.LevelInfo, "job rejected, description too long", "job", string(request.jobID),
+			"value_limit", u.limits.AdmissionLimits().ValueBytes)
+		u.replyError(request.requestID, http.StatusBadRequest, messageJobTooLarge)
 	case !u.canEverRun(request.job):
 		u.Log(slog.LevelInfo, "job rejected, requirements cannot be met",
 			"job", string(request.jobID), "team", request.job.Team)
--- a/internal/coordination/requests/submissions.go
+++ b/internal/coordination/requests/submissions.go
@@ -53,7 +53,8 @@
 }
 
 // JobRecordFits reports whether a job's record fits into a stored value, including whatever is
-// recorded in it later, under the current and the announced limits.
+// recorded in it later, under the current and the announced limits. It judges new jobs only: a job that
+// was accepted under wider limits stays accepted.
 func (u *UserRequests) JobRecordFits(job *protocol.Job) bool {
 	format := storage.FormatPlain
 	if u.Config.AnnouncedLimits != nil {
@@ -71,7 +72,7 @@
 		u.deferSubmission(requestID, job, u.Now.Monotonic)
 	case !u.canQueueSubmission():
 		u.rejectUnavailable(requestID)
-	case !u.canEverRun(job):
+	case !u.JobRecordFits(job) || !u.canEverRun(job):
 		// The job may be rejected only once it is certain that no other controller has accepted it.
 		u.deferSubmission(requestID, job, u.Now.Monotonic)
 	default:
--- a/internal/coordination/requests/user_requests.go
+++ b/internal/coordination/requests/user_requests.go
@@ -80,10 +80,6 @@
 		u.replyError(input.RequestID, http.StatusBadRequest, err.Error())
 		return
 	}
-	if !u.JobRecordFits(job) {
-		u.replyError(input.RequestID, http.StatusBadRequest, messageJobTooLarge)
-		return
-	}
 	u.onValidSubmission(input.RequestID, job)
 }
 
