A record that exceeds a value is cut into parts, and a write that can't be sent delays no other

Cause: the record was written as one value of up to 8 KiB and fits none of 2 KiB in the packed format either, as its names are digests. Each change put it into the batch all the same, enforceWriteLimits dropped the transaction whole and asked for a smaller one, and the record came first again, several times a second without end. The line that was logged did not say which record it was. Change: from storage format 3 on, a field that is too large is cut into parts with keys of their own that hold a hash of their text. A job's description that takes more than half of a value goes there in advance, by whoever needs to change the record; after that each change is one value as before, so that submissions up to 85% of a value and JobRecordBudget (half) agree. Completed tasks, reservations and the shard of one machine go there in the same transaction as the record. A value that can't be written yet (older format) is named in the log with its size and the limit, left out of batches for 5 s, and asks for the newer format, also where no limits are announced. A done job is written even then: its record has no description. Conditions, owners and fencing stay with the record's one key, so nothing else had to change. The production version never sees a part: the format is raised to the newest that all configured controllers have been seen to read. Tests: raiseFormat in format_upgrade_test.go puts the newest format, as a core at format 2 now raises it first; what is checked is the same. A simulated controller of the production version has a peer that is never seen, since such a version never raises the format.

--- a/internal/coordination/cancellation/requests.go
+++ b/internal/coordination/cancellation/requests.go
@@ -46,7 +46,7 @@
 		switch {
 		case entry == nil || entry.Record.State.IsTerminal():
 			delete(c.requestedAt, id)
-		case !batch.HasCapacity(1):
+		case !batch.HasCapacity(batch.OpsNeeded("", id)):
 			// The cancellation is written with a later batch.
 		case entry.Record.CancelRequested:
 			if c.canConfirm(id, &entry.Record) {
--- a/internal/coordination/commit/batch.go
+++ b/internal/coordination/commit/batch.go
@@ -1,6 +1,7 @@
 package commit
 
 import (
+	"encoding/json"
 	"iter"
 	"log/slog"
 	"maps"
@@ -29,7 +30,8 @@
 	lockedTeams    map[string]bool // teams whose quota records are rewritten
 	transfers      map[storage.TransferSlot]*storage.TransferRecord
 	drains         map[protocol.ControllerID]*DrainChange
-	writesRegistry bool // the batch adds a machine to the records
+	parts          map[storage.PartName]json.RawMessage // parts to write, and nil for parts to delete
+	writesRegistry bool                                 // the batch adds a machine to the records
 
 	newlyCompletedTasks map[protocol.JobID]storage.TaskSet // tasks that the batch records as completed
 	failedServices      map[protocol.JobID]bool            // services of which the batch records a replica's exit
@@ -49,6 +51,7 @@
 		lockedTeams:         map[string]bool{},
 		transfers:           map[storage.TransferSlot]*storage.TransferRecord{},
 		drains:              map[protocol.ControllerID]*DrainChange{},
+		parts:               map[storage.PartName]json.RawMessage{},
 		newlyCompletedTasks: map[protocol.JobID]storage.TaskSet{},
 		failedServices:      map[protocol.JobID]bool{},
 	}
--- a/internal/coordination/commit/batch_capacity.go
+++ b/internal/coordination/commit/batch_capacity.go
@@ -36,6 +36,10 @@
 		len(b.conditions)+conditionsPerRecord*n < b.shardWriter.limits.WriteLimits().MaxConditions()
 }
 
+// IsPostponed reports whether the record under a key is left out of batches for now, because it could
+// not be written.
+func (b *Batch) IsPostponed(key string) bool { return b.shardWriter.isPostponed(key) }
+
 // CanAddMachine reports whether the batch has capacity to add one more machine to the records,
 // which writes a shard and the registry.
 func (b *Batch) CanAddMachine() bool { return b.HasCapacity(2) }
@@ -46,7 +50,7 @@
 	ops := b.machineWritesNeeded(machineID)
 	for _, job := range jobs {
 		if b.jobs[job] == nil {
-			ops++
+			ops += b.shardWriter.JobWriteOps(job)
 		}
 	}
 	return ops
--- a/internal/coordination/commit/batch_changes.go
+++ b/internal/coordination/commit/batch_changes.go
@@ -14,9 +14,23 @@
 	b.lockedTeams[team] = true
 }
 
-// AddJob adds the record of a new job.
+// NewJobOps returns the number of operations that add the record of a new job.
+func (b *Batch) NewJobOps(id protocol.JobID, record *storage.JobRecord) int {
+	w := b.shardWriter
+	switch {
+	case w.isPostponed(storage.JobKey(id)):
+		return unwritableOps
+	case !w.writesParts():
+		return 1
+	}
+	layout := newJobLayout(id, record, w.limits.WriteLimits())
+	return layout.ops + len(layout.specParts)
+}
+
+// AddJob adds the record of a new job. Callers must check the capacity for NewJobOps first.
 func (b *Batch) AddJob(id protocol.JobID, record *storage.JobRecord) {
 	b.reserveWrite(storage.JobKey(id), newJobRecordSize)
+	b.opsLeft -= b.NewJobOps(id, record) - 1 // reserveWrite has counted one operation
 	b.jobs[id] = record
 }
 
@@ -27,6 +41,9 @@
 	}
 	entry := b.shardWriter.Replica.Jobs[id]
 	record := entry.Record
+	if ops := b.shardWriter.JobWriteOps(id); ops < unwritableOps {
+		b.opsLeft -= ops - 1 // reserveWrite counts one operation
+	}
 	b.reserveWrite(storage.JobKey(id), entry.EncodedSize+jobSizeMargin)
 	b.jobs[id] = &record
 	return &record
@@ -56,11 +73,11 @@
 }
 
 // CompleteJobIfDone records a job as done if all its tasks are completed and the batch has capacity
-// for the job's record.
+// for the job's record. The record of a done job has no description, so it always fits a value.
 func (b *Batch) CompleteJobIfDone(id protocol.JobID) {
 	record := b.JobRecord(id)
 	isDone := !record.State.IsTerminal() && b.CompletedTasks(id).Len() >= record.Spec.TaskCount
-	if !isDone || !b.HasCapacity(b.OpsNeeded("", id)) {
+	if !isDone || b.jobs[id] == nil && !b.HasCapacity(1) {
 		return
 	}
 	record = b.MutableJob(id)
--- a/internal/coordination/commit/batch_machines.go
+++ b/internal/coordination/commit/batch_machines.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, id := range b.shardWriter.OwnedShards() {
-		if b.shards[id] == nil && fits(draftOf(b.shardWriter.Replica.Shards[id])) {
+		if b.shards[id] == nil && !b.IsPostponed(storage.ShardKey(id)) && fits(draftOf(b.shardWriter.Replica.Shards[id])) {
 			return id
 		}
 	}
--- a/internal/coordination/commit/batch_transaction.go
+++ b/internal/coordination/commit/batch_transaction.go
@@ -9,7 +9,7 @@
 // isEmpty reports whether the batch has no change that warrants a transaction. Quota locks and the
 // registry only accompany other changes.
 func (b *Batch) isEmpty() bool {
-	return len(b.jobs) == 0 && len(b.shards) == 0 && len(b.transfers)+len(b.drains) == 0
+	return len(b.jobs) == 0 && len(b.shards) == 0 && len(b.transfers)+len(b.drains)+len(b.parts) == 0
 }
 
 // Transaction returns the encoded batch. Equal batches yield equal transactions, because the keys
@@ -20,8 +20,9 @@
 		transaction.Operations = append(transaction.Operations, protocol.Operation{PutKey: key, Value: value})
 	}
 	incarnation := b.shardWriter.lease.incarnation
+	transaction.Operations = append(transaction.Operations, b.partOperations()...)
 	for _, id := range step.SortedKeys(b.jobs) {
-		put(storage.JobKey(id), storage.EncodeJob(b.shardWriter.limits.StorageFormat(), b.jobs[id]))
+		transaction.Operations = append(transaction.Operations, b.jobOperations(id, b.jobs[id])...)
 	}
 	for _, id := range step.SortedKeys(b.shards) {
 		transaction.Operations = append(transaction.Operations, b.shardOperations(id, b.shards[id])...)
@@ -58,7 +59,8 @@
 
 // encodeShard returns the operations that write a shard. A packed shard that exceeds the maximum
 // size of a value is split into several shards with the same owner and epoch. The new shards come
-// first, so that each machine is on some shard after every operation.
+// first, so that each machine is on some shard after every operation. A shard that has no machines to
+// split off is written in parts.
 func (b *Batch) encodeShard(id storage.ShardID, draft *ShardDraft) []protocol.Operation {
 	lines := make([]string, len(draft.MachineIDs))
 	for i, machineID := range draft.MachineIDs {
@@ -70,9 +72,14 @@
 	}
 	format := b.shardWriter.limits.StorageFormat()
 	data := storage.EncodeShard(format, draft.Owner, draft.Epoch, lines, draft.completedTasks)
-	fits := len(data) <= b.shardWriter.limits.WriteLimits().ValueBytes
-	if fits || len(draft.MachineIDs) < 2 || format < storage.FormatPacked {
-		return []protocol.Operation{{PutKey: storage.ShardKey(id), Value: data}}
+	maxValueBytes := b.shardWriter.limits.WriteLimits().ValueBytes
+	isDivisible := len(draft.MachineIDs) >= 2
+	switch fits := len(data) <= maxValueBytes; {
+	case !fits && !isDivisible && b.shardWriter.writesParts():
+		value, parts := storage.EncodeShardInParts(id, draft.Owner, draft.Epoch, lines, draft.completedTasks, maxValueBytes)
+		return putWithParts(storage.ShardKey(id), value, parts)
+	case fits || !isDivisible || format < storage.FormatPacked:
+		return putWithParts(storage.ShardKey(id), data, nil)
 	}
 	first, second := draft.split()
 	secondID := b.shardWriter.newShardID()
--- a/internal/coordination/commit/committer.go
+++ b/internal/coordination/commit/committer.go
@@ -134,18 +134,45 @@
 }
 
 // enforceWriteLimits reports whether a transaction is within the write limits. A transaction that
-// exceeds them is built again after rebuildDelay, with fewer operations.
+// exceeds them is built again after rebuildDelay, without the records whose values are too large or, if
+// there are none, with fewer operations.
 func (c *Committer) enforceWriteLimits(transaction *protocol.Transaction) bool {
-	if c.limits.WriteLimits().Allows(transaction) {
+	limits := c.limits.WriteLimits()
+	if limits.Allows(transaction) {
 		return true
 	}
-	c.Log(slog.LevelError, "transaction exceeds write limits, not sent", "count", len(transaction.Operations))
-	c.limits.shrinkTransactions()
+	if !c.postponeOversizedValues(transaction, limits) {
+		c.Log(slog.LevelError, "transaction exceeds write limits, not sent", "count", len(transaction.Operations),
+			"max_count", limits.TransactionOps, "conditions", len(transaction.Conditions), "bytes", transaction.Size())
+		c.limits.shrinkTransactions()
+	}
 	c.nextCommitAt = c.Now.Monotonic.Add(rebuildDelay)
 	c.nextUserCommitAt = c.nextCommitAt
 	return false
 }
 
+// postponeOversizedValues leaves the records of a transaction whose values are too large out of the next
+// batches, and reports whether there are any. A newer storage format may be able to write them.
+func (c *Committer) postponeOversizedValues(transaction *protocol.Transaction, limits step.WriteLimits) (found bool) {
+	for _, operation := range transaction.Operations {
+		if len(operation.Value) > limits.ValueBytes {
+			c.postponeRecord(operation, "value too large")
+			c.limits.needsNewerFormat = true
+			found = true
+		}
+	}
+	return found
+}
+
+// postponeRecord leaves the record that an operation changes out of the next batches.
+func (c *Committer) postponeRecord(operation protocol.Operation, reason string) {
+	key := operation.PutKey + operation.DeleteKey
+	c.shards.postponeWrite(key)
+	c.Log(slog.LevelError, "write of record postponed", "key", key, "reason", reason, "bytes", len(operation.Value),
+		"value_limit", c.limits.WriteLimits().ValueBytes, "format", int(c.limits.StorageFormat()),
+		"retry_s", postponeDelay.Seconds())
+}
+
 // registrationCondition returns the condition that keeps a transaction from being applied once this
 // incarnation has ended. See Committer.
 func (c *Committer) registrationCondition() protocol.Condition {
@@ -164,7 +191,7 @@
 	key := storage.ControllerKey(c.Config.ControllerID)
 	record := storage.ControllerRecord{
 		Incarnation:       storage.NewIncarnation(c.Config.ControllerID, c.lease.id),
-		ReadableFormat:    storage.FormatPacked,
+		ReadableFormat:    storage.NewestFormat,
 		SupportsTransfers: c.Config.RecordTransfers,
 	}
 	c.sendTransaction(&pendingTransaction{
--- a/internal/coordination/commit/completed_tasks.go
+++ b/internal/coordination/commit/completed_tasks.go
@@ -20,13 +20,14 @@
 	maps.DeleteFunc(w.completeSince, func(id protocol.JobID, _ protocol.Instant) bool {
 		return w.Replica.UnfinishedJobs[id] == nil
 	})
+	w.forgetEndedJobs()
 	for _, id := range step.SortedKeys(w.Replica.UnfinishedJobs) {
 		w.completeJobIfResponsible(batch, id, &w.Replica.UnfinishedJobs[id].Record)
 	}
 	for _, id := range w.OwnedShards() {
 		shard := w.Replica.Shards[id]
 		isDue := len(shard.CompletedTasks) > 0 && (w.needsConsolidation(shard) || len(shard.Machines) == 0)
-		if isDue && (batch.ChangesShard(id) || batch.HasCapacity(2)) {
+		if isDue && (batch.ChangesShard(id) || batch.HasCapacity(w.ShardWriteOps(id)+1)) {
 			w.consolidateShard(batch, id)
 		}
 	}
--- a/internal/coordination/commit/format_upgrade.go
+++ b/internal/coordination/commit/format_upgrade.go
@@ -23,9 +23,9 @@
 //
 // While a deployment is upgraded, controllers of the previous and of this version work on the
 // same records. Each incarnation of this version writes to its controller record which format it
-// can read. Once all controllers have been seen to read the packed format, the format in the store
+// can read. Once all controllers have been seen to read a newer format, the format in the store
 // is raised. Only then are records written that the previous version cannot read. If no new limits
-// of the store are announced, the plain format suffices and is kept.
+// of the store are announced and no record outgrows a value, the plain format suffices and is kept.
 type FormatUpgrade struct {
 	*step.Context
 
@@ -34,26 +34,25 @@
 	limits    *WriteLimiter
 	election  SuccessorElection
 
-	packedReaders            map[protocol.ControllerID]bool // whether a controller could read the packed format when last seen
-	areAnnouncedLimitsActive bool                           // the store refused a write within the current limits as too large
-	raisableSince            protocol.Instant               // when it became possible to raise the format; 0 if it is not
-	warnedIncarnation        storage.Incarnation            // the last incarnation that was logged as incompatible
+	readableFormats          map[protocol.ControllerID]storage.Format // newest format that a controller could read when last seen
+	areAnnouncedLimitsActive bool                                     // the store refused a write within the current limits as too large
+	raisableSince            protocol.Instant                         // when it became possible to raise the format; 0 if it is not
+	warnedIncarnation        storage.Incarnation                      // the last incarnation that was logged as incompatible
 }
 
 func newFormatUpgrade(ctx *step.Context) *FormatUpgrade {
 	return &FormatUpgrade{
-		Context:       ctx,
-		packedReaders: map[protocol.ControllerID]bool{},
+		Context:         ctx,
+		readableFormats: map[protocol.ControllerID]storage.Format{},
 	}
 }
 
-// RecordFormatSupport records which controllers can read the packed format. An incarnation of an
-// older version overrides what was recorded for its controller earlier.
+// RecordFormatSupport records which format each controller can read. An incarnation of an older
+// version overrides what was recorded for its controller earlier.
 func (u *FormatUpgrade) RecordFormatSupport() {
 	for controllerID, controller := range u.Replica.Controllers {
-		readsPacked := controller.Record.ReadableFormat >= storage.FormatPacked
-		u.packedReaders[controllerID] = readsPacked
-		if !readsPacked && u.limits.StorageFormat() >= storage.FormatPacked {
+		u.readableFormats[controllerID] = controller.Record.ReadableFormat
+		if controller.Record.ReadableFormat < u.limits.StorageFormat() {
 			u.warnIncompatible(controller.Record.Incarnation)
 		}
 	}
@@ -69,28 +68,28 @@
 	u.Log(slog.LevelError, "incompatible controller version running", "incarnation", string(incarnation))
 }
 
-// canRaiseFormat reports whether the packed format may be written from now on, because every
-// controller of the deployment has been seen to read it. Active announced limits show this too,
-// because they take effect only when the upgrade is over. They are no evidence while an incarnation
-// of an older version lives.
-func (u *FormatUpgrade) canRaiseFormat() bool {
-	if u.Config.AnnouncedLimits == nil || u.limits.StorageFormat() >= storage.FormatPacked {
-		return false
+// canRaiseFormat reports whether a newer format may be written from now on.
+func (u *FormatUpgrade) canRaiseFormat() bool { return u.raisableFormat() > u.limits.StorageFormat() }
+
+// raisableFormat returns the newest format that every controller of the deployment has been seen to
+// read, if limits are announced or records need a newer format. Otherwise it returns the plain format.
+// Active announced limits show that the upgrade is over, because they take effect only then. They are
+// no evidence while an incarnation of an older version lives.
+func (u *FormatUpgrade) raisableFormat() storage.Format {
+	if u.Config.AnnouncedLimits == nil && !u.limits.needsNewerFormat {
+		return storage.FormatPlain
 	}
+	newest := storage.NewestFormat
 	for controllerID := range u.Replica.Controllers {
-		if !u.packedReaders[controllerID] {
-			return false
-		}
+		newest = min(newest, u.readableFormats[controllerID])
 	}
 	if u.areAnnouncedLimitsActive {
-		return true
+		return newest
 	}
 	for _, controllerID := range u.Config.PeerIDs {
-		if !u.packedReaders[controllerID] {
-			return false
-		}
+		newest = min(newest, u.readableFormats[controllerID])
 	}
-	return u.packedReaders[u.Config.ControllerID]
+	return min(newest, u.readableFormats[u.Config.ControllerID])
 }
 
 // tryRaiseFormat sends the change of the format if it is due. It reports whether it sent the change.
@@ -106,13 +105,14 @@
 	if !isOurTurn || !u.limits.takeWriteTokens(1) {
 		return false
 	}
-	record := storage.FormatRecord{WriteFormat: storage.FormatPacked, UpdatedBy: u.lease.incarnation}
+	format := u.raisableFormat()
+	record := storage.FormatRecord{WriteFormat: format, UpdatedBy: u.lease.incarnation}
 	u.committer.sendTransaction(&pendingTransaction{
 		transaction: protocol.Transaction{
 			Conditions: u.formatChangeConditions(),
 			Operations: []protocol.Operation{{PutKey: storage.FormatKey, Value: storage.MustMarshal(record)}},
 		},
-		logsOnApply: []step.Effect{step.Log{Level: slog.LevelInfo, Message: "storage format raised to packed"}},
+		logsOnApply: []step.Effect{step.Log{Level: slog.LevelInfo, Message: "storage format raised", Args: []any{"format", int(format)}}},
 	})
 	return true
 }
--- a/internal/coordination/commit/parts.go
+++ b/internal/coordination/commit/parts.go
@@ -62,5 +62,6 @@
 	p.Replication.peers = dependencies.StoreReports
 	p.Upgrade.election = dependencies.SuccessorElection
 	p.ShardWriter.catalog = dependencies.Catalog
+	p.ShardWriter.election = dependencies.SuccessorElection
 	p.ShardWriter.transfers = dependencies.TransferTracker
 }
--- a/internal/coordination/commit/shard_draft.go
+++ b/internal/coordination/commit/shard_draft.go
@@ -51,7 +51,6 @@
 	}
 	replica := b.shardWriter.Replica
 	shard := replica.Shards[id]
-	ops := b.shardWriter.ShardWriteOps(id)
 	draft := draftOf(shard)
 	draft.completedTasks = map[protocol.JobID]storage.TaskSet{}
 	if b.shardWriter.limits.StorageFormat() >= storage.FormatPacked {
@@ -62,8 +61,10 @@
 			draft.completedTasks[job] = completed
 		}
 	}
+	if ops := b.shardWriter.ShardWriteOps(id); ops < unwritableOps {
+		b.opsLeft -= ops - 1 // reserveWrite counts one operation
+	}
 	b.reserveWrite(storage.ShardKey(id), shard.EncodedSize+shardSizeMargin)
-	b.opsLeft -= ops - 1 // reserveWrite has counted one operation
 	b.shards[id] = draft
 	return draft
 }
--- a/internal/coordination/commit/shard_layout.go
+++ b/internal/coordination/commit/shard_layout.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"slices"
 
-	"tillerarch/internal/coordination/step"
 	"tillerarch/internal/storage"
 )
 
@@ -45,7 +44,7 @@
 	inTransfer := w.transfers.ShardsInTransfer(storage.TransferPhase.IsOpen)
 	var candidates []mergeCandidate
 	for _, id := range w.OwnedShards() {
-		if inTransfer[id] {
+		if inTransfer[id] || batch.IsPostponed(storage.ShardKey(id)) {
 			continue
 		}
 		shard := w.Replica.Shards[id]
@@ -102,7 +101,7 @@
 	for _, id := range w.OwnedShards() {
 		shard := w.Replica.Shards[id]
 		isDue := shard.EncodedSize >= w.shardSplitThreshold() && len(shard.Machines) >= 2
-		if !isDue || batch.ChangesShard(id) || !batch.HasCapacity(2) {
+		if !isDue || batch.ChangesShard(id) || !batch.HasCapacity(2) || batch.IsPostponed(storage.ShardKey(id)) {
 			continue
 		}
 		batch.MutableShard(id)
@@ -122,31 +121,3 @@
 	}
 	return maxFilledShardSize(limits)
 }
-
-// ReencodeOversizedRecords rewrites the shards and jobs of this incarnation that were written before
-// the format was raised and that exceed the write limits as they are. It uses the capacity that the
-// batch has, so a few transactions suffice for all. A change that needs such a record earlier
-// rewrites the record in the same way.
-func (w *ShardWriter) ReencodeOversizedRecords(batch *Batch) {
-	if w.limits.StorageFormat() < storage.FormatPacked {
-		return
-	}
-	maxValueBytes := w.limits.WriteLimits().ValueBytes
-	// Most of the time there are no oversized shards, so the shards are filtered before sorting.
-	shards := step.SelectKeys(w.Replica.Shards, func(shard *storage.Shard) bool {
-		return shard.Owner == w.lease.incarnation && shard.EncodedSize > maxValueBytes
-	})
-	for _, id := range shards {
-		if !batch.ChangesShard(id) && batch.HasCapacity(w.ShardWriteOps(id)) {
-			batch.MutableShard(id)
-		}
-	}
-	jobs := step.SelectKeys(w.Replica.UnfinishedJobs, func(entry *storage.Versioned[storage.JobRecord]) bool {
-		return entry.Record.Owner == w.lease.incarnation && entry.EncodedSize > maxValueBytes
-	})
-	for _, id := range jobs {
-		if batch.HasCapacity(batch.OpsNeeded("", id)) {
-			batch.MutableJob(id)
-		}
-	}
-}
--- a/internal/coordination/commit/shard_writer.go
+++ b/internal/coordination/commit/shard_writer.go
@@ -22,6 +22,7 @@
 
 	catalog   *catalog.Catalog
 	committer *Committer
+	election  SuccessorElection
 	lease     *Lease
 	limits    *WriteLimiter
 	transfers TransferTracker
@@ -29,12 +30,14 @@
 	shardSequence    int                                 // number of shard IDs that this process has created
 	completeSince    map[protocol.JobID]protocol.Instant // when all tasks of an unfinished job of another owner were found completed
 	nextShardMergeAt protocol.Instant
+	oversized        oversizedRecords
 }
 
 func newShardWriter(ctx *step.Context) *ShardWriter {
 	return &ShardWriter{
 		Context:       ctx,
 		completeSince: map[protocol.JobID]protocol.Instant{},
+		oversized:     newOversizedRecords(),
 	}
 }
 
@@ -44,15 +47,23 @@
 }
 
 // ShardWriteOps returns the number of operations that are needed to write a shard. A shard that was
-// written in the plain format may have to be split into several shards in the packed format.
+// written in the plain format may have to be split into several shards in the packed format, and the
+// shard of a single machine into parts. It is unwritableOps if the shard cannot be written now.
 func (w *ShardWriter) ShardWriteOps(id storage.ShardID) int {
+	if w.isPostponed(storage.ShardKey(id)) {
+		return unwritableOps
+	}
 	maxValueBytes := w.limits.WriteLimits().ValueBytes
 	shard := w.Replica.Shards[id]
 	if shard == nil || w.limits.StorageFormat() < storage.FormatPacked || shard.EncodedSize <= maxValueBytes {
 		return 1
 	}
 	size := addQuarter(w.Replica.PackedShardSize(id))
-	return max((size+maxValueBytes-1)/maxValueBytes, 1)
+	ops := max((size+maxValueBytes-1)/maxValueBytes, 1)
+	if ops > 1 && len(shard.Machines) < 2 {
+		ops++ // the value that lists the parts
+	}
+	return ops
 }
 
 // newShardID returns an ID that no shard has had before.
--- a/internal/coordination/commit/size_estimates.go
+++ b/internal/coordination/commit/size_estimates.go
@@ -92,6 +92,10 @@
 // maxPlainShardSize returns the size from which a shard in the plain format is split.
 func maxPlainShardSize(limits step.WriteLimits) int { return limits.ValueBytes * 15 / 16 }
 
+// maxSpecSize returns the size up to which a job's description is part of the value of the job's
+// record. The rest of the value is left for what changes (WriteLimiter.JobRecordBudget).
+func maxSpecSize(limits step.WriteLimits) int { return limits.ValueBytes / 2 }
+
 // maxMergeSourceSize returns the projected size up to which a shard is merged into another one.
 func maxMergeSourceSize(limits step.WriteLimits) int { return limits.ValueBytes / 3 }
 
--- a/internal/coordination/commit/write_limiter.go
+++ b/internal/coordination/commit/write_limiter.go
@@ -38,6 +38,7 @@
 	limiter           *rate.Limiter
 	writeRate         float64 // operations per second that this controller allows itself
 	maxTransactionOps int     // present maximum number of operations in a transaction
+	needsNewerFormat  bool    // a record can only be written in a newer storage format
 }
 
 // WriteLimits returns the limits for everything that is written now. Once the packed format is in
--- a/internal/coordination/commit_cycle.go
+++ b/internal/coordination/commit_cycle.go
@@ -38,7 +38,7 @@
 		return
 	}
 	batch := c.commit.ShardWriter.NewBatch(maxOps)
-	c.commit.ShardWriter.ReencodeOversizedRecords(batch)
+	c.commit.ShardWriter.RewriteOversizedRecords(batch)
 	c.agents.Stopper.WriteGracefulStops(batch)
 	c.writeOwnershipChanges(batch)
 	// Changes that are not urgent wait until the write limit allows a batch of at least MinBatchOps or
--- a/internal/coordination/format_upgrade_test.go
+++ b/internal/coordination/format_upgrade_test.go
@@ -24,10 +24,10 @@
 	}
 }
 
-// raiseFormat records the packed format as the write format.
+// raiseFormat records the newest format as the write format.
 func raiseFormat(t *testing.T, core *Core) {
 	t.Helper()
-	putRecord(t, core, storage.FormatKey, storage.MustMarshal(storage.FormatRecord{WriteFormat: storage.FormatPacked}), 50)
+	putRecord(t, core, storage.FormatKey, storage.MustMarshal(storage.FormatRecord{WriteFormat: storage.NewestFormat}), 50)
 }
 
 // putOversizedShard puts a shard into the replica as the version in production could leave it: close
--- a/internal/coordination/ownership/handoff.go
+++ b/internal/coordination/ownership/handoff.go
@@ -157,7 +157,7 @@
 	newShards := map[storage.Incarnation]storage.ShardID{}
 	for _, machine := range machines {
 		record := &machine.entry.Record
-		if batch.GivesAwayShard(record.Shard) || !batch.HasCapacity(machineHandOffOps) {
+		if batch.GivesAwayShard(record.Shard) || !batch.HasCapacity(max(machineHandOffOps, batch.OpsNeeded(machine.id)+1)) {
 			continue
 		}
 		target := machine.target
--- a/internal/coordination/ownership/transfer_steps.go
+++ b/internal/coordination/ownership/transfer_steps.go
@@ -83,7 +83,7 @@
 		}
 		ops += t.shardWriter.ShardWriteOps(record.Shard)
 	}
-	if !batch.HasCapacity(ops) {
+	if !batch.HasCapacity(ops) || batch.IsPostponed(storage.TransferKey(slot)) {
 		return
 	}
 	record.Phase = next.Phase
--- a/internal/coordination/requests/drains.go
+++ b/internal/coordination/requests/drains.go
@@ -59,7 +59,8 @@
 	if err := o.checkDrain(request); err != nil {
 		return nil, err
 	}
-	if !batch.HasCapacity(1) || batch.ChangesDrain(request.Controller) {
+	isPostponed := batch.IsPostponed(storage.DrainKey(request.Controller))
+	if isPostponed || !batch.HasCapacity(1) || batch.ChangesDrain(request.Controller) {
 		return nil, nil
 	}
 	change := &commit.DrainChange{}
--- a/internal/coordination/requests/submissions.go
+++ b/internal/coordination/requests/submissions.go
@@ -34,11 +34,14 @@
 func (u *UserRequests) WriteUserRequests(batch *commit.Batch) {
 	u.cancellations.WriteCancellations(batch)
 	for _, id := range step.SortedKeys(u.submissions) {
-		if u.Replica.Jobs[id] != nil || !batch.HasCapacity(1) {
+		if u.Replica.Jobs[id] != nil {
 			continue
 		}
 		pending := u.submissions[id]
-		batch.AddJob(id, u.newJobRecord(pending.job, pending.submittedAt))
+		record := u.newJobRecord(pending.job, pending.submittedAt)
+		if batch.HasCapacity(batch.NewJobOps(id, record)) {
+			batch.AddJob(id, record)
+		}
 	}
 }
 
--- a/internal/coordination/scheduling/placement_writes.go
+++ b/internal/coordination/scheduling/placement_writes.go
@@ -67,8 +67,9 @@
 	writes := batch.OpsNeeded(machine.id)
 	if s.mustLockQuota(batch, spec.Team) {
 		writes++
-		if s.Replica.Revision < protocol.Revision(s.Replica.QuotaRevisions[spec.Team]) {
-			return false // the replica does not have the team's latest usage
+		key := storage.QuotaKey(spec.Team)
+		if batch.IsPostponed(key) || s.Replica.Revision < protocol.Revision(s.Replica.ModRevision(key)) {
+			return false // the replica does not have the team's latest usage, or the key can't be written
 		}
 	}
 	return batch.HasCapacity(writes) && batch.HasShardHeadroom(machine.record)
--- a/internal/coordination/step/write_limits.go
+++ b/internal/coordination/step/write_limits.go
@@ -33,12 +33,10 @@
 	if len(transaction.Operations) > l.TransactionOps || len(transaction.Conditions) > l.MaxConditions() {
 		return false
 	}
-	size := 0
 	for _, operation := range transaction.Operations {
 		if len(operation.Value) > l.ValueBytes {
 			return false
 		}
-		size += len(operation.Value) + len(operation.PutKey) + len(operation.DeleteKey)
 	}
-	return size <= protocol.MaxTransactionBytes
+	return transaction.Size() <= protocol.MaxTransactionBytes
 }
--- a/internal/protocol/keyvalue.go
+++ b/internal/protocol/keyvalue.go
@@ -48,6 +48,14 @@
 	Operations []Operation `json:"then,omitempty"`
 }
 
+// Size returns the total size of the keys and values of the operations, in bytes.
+func (t *Transaction) Size() (size int) {
+	for _, operation := range t.Operations {
+		size += len(operation.Value) + len(operation.PutKey) + len(operation.DeleteKey)
+	}
+	return size
+}
+
 // TransactionResult is the response to a transaction and to a read of a missing key.
 type TransactionResult struct {
 	Revision   Revision `json:"ledger_rev"`
--- a/internal/simulation/compatibility.go
+++ b/internal/simulation/compatibility.go
@@ -119,7 +119,7 @@
 		c.world.Rules.recordViolation("unreadable", "record %s is unreadable for %s, which runs the production version: %v", key, c.ID, err)
 		return false
 	}
-	isUnknownInProduction := key == storage.FormatKey || strings.HasPrefix(key, storage.TransferKey("")) || strings.HasPrefix(key, storage.DrainKey(""))
+	isUnknownInProduction := key == storage.FormatKey || storage.IsPartKey(key) || strings.HasPrefix(key, storage.TransferKey("")) || strings.HasPrefix(key, storage.DrainKey(""))
 	return !isUnknownInProduction
 }
 
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -55,6 +55,8 @@
 	if c.RunsProductionVersion {
 		config.AnnouncedLimits = nil
 		config.RecordTransfers = false
+		// The production version never raises the storage format. A peer that is never seen prevents it.
+		config.PeerIDs = append(config.PeerIDs, "never-seen")
 	}
 	config.Seed = uint64(c.generation)
 	c.Core = coordination.New(config, c.now())
--- a/internal/simulation/history_checker.go
+++ b/internal/simulation/history_checker.go
@@ -34,6 +34,7 @@
 	transfers        map[string]storage.TransferRecord
 	liveIncarnations map[string]storage.Incarnation // by the controller's key in the store
 	ownersByEpoch    map[machineEpoch]storage.Incarnation
+	parts            map[storage.PartName]string // texts of all parts ever written
 }
 
 // NewHistoryChecker returns a checker for an empty store. It calls onViolation with the text of
@@ -48,6 +49,7 @@
 		transfers:        map[string]storage.TransferRecord{},
 		liveIncarnations: map[string]storage.Incarnation{},
 		ownersByEpoch:    map[machineEpoch]storage.Incarnation{},
+		parts:            map[storage.PartName]string{},
 	}
 }
 
@@ -65,6 +67,8 @@
 		key := change.PutKey + change.DeleteKey
 		if strings.HasPrefix(key, storage.ControllerKey("")) {
 			h.applyController(revision, key, change.Value)
+		} else if storage.IsPartKey(key) {
+			h.applyPart(revision, key, change.Value)
 		} else if id, ok := strings.CutPrefix(key, storage.ShardKey("")); ok {
 			shardsBefore[storage.ShardID(id)] = h.shards[storage.ShardID(id)]
 			h.applyShard(revision, storage.ShardID(id), change.Value, changedMachines)
@@ -97,6 +101,25 @@
 	h.liveIncarnations[key] = record.Incarnation
 }
 
+// applyPart records the text of a part of a record. data is empty if the part is deleted.
+func (h *HistoryChecker) applyPart(revision protocol.Revision, key string, data json.RawMessage) {
+	if len(data) == 0 {
+		return // the text is kept: no part ever changes
+	}
+	part, err := storage.DecodePart(key, data)
+	if err != nil {
+		h.recordViolation(revision, "part %s can't be read: %v", key, err)
+		return
+	}
+	h.parts[part.Name] = part.Text
+}
+
+// partText returns the text of a part that has been written.
+func (h *HistoryChecker) partText(name storage.PartName) (text string, ok bool) {
+	text, ok = h.parts[name]
+	return text, ok
+}
+
 // applyShard replaces a shard and its machines. data is empty if the shard is deleted.
 func (h *HistoryChecker) applyShard(revision protocol.Revision, id storage.ShardID, data json.RawMessage, changedMachines map[protocol.MachineID]bool) {
 	for _, machine := range h.shards[id].Machines {
@@ -107,7 +130,7 @@
 	if len(data) == 0 {
 		return
 	}
-	shard, err := storage.DecodeShardSummary(data)
+	shard, err := storage.DecodeShardSummary(id, data, h.partText)
 	if err != nil {
 		h.recordViolation(revision, "shard %s can't be read: %v", id, err)
 		return
--- a/internal/storage/format.go
+++ b/internal/storage/format.go
@@ -13,6 +13,9 @@
 const (
 	FormatPlain  Format = 0 // all records are plain JSON
 	FormatPacked Format = 2 // shards and large job records are packed, completed tasks are compact
+	FormatParts  Format = 3 // like FormatPacked, but records that exceed a value are cut into parts
+
+	NewestFormat = FormatParts // newest format that this version reads
 )
 
 // FormatRecord is the value of FormatKey.
@@ -43,14 +46,19 @@
 	if format < FormatPacked {
 		return MustMarshal(record)
 	}
-	plain := MustMarshal(compactJobRecord{JobRecord: *record, CompletedTasks: compactTaskSet{record.CompletedTasks}})
+	plain := encodeCompactJob(record)
 	if len(plain) < jobCompressionThreshold {
 		return plain
 	}
 	return MustMarshal(packedJobRecord{deflate(plain)})
 }
 
-// decodeJob decodes a job's record in any format.
+// encodeCompactJob encodes a job's record with its completed tasks in their shortest form.
+func encodeCompactJob(record *JobRecord) json.RawMessage {
+	return MustMarshal(compactJobRecord{JobRecord: *record, CompletedTasks: compactTaskSet{record.CompletedTasks}})
+}
+
+// decodeJob decodes the value of a job's record in any format.
 func decodeJob(data json.RawMessage) (record JobRecord, err error) {
 	if bytes.HasPrefix(data, []byte(packedJobPrefix)) {
 		var packed packedJobRecord
--- a/internal/storage/keys.go
+++ b/internal/storage/keys.go
@@ -15,6 +15,7 @@
 	quotaPrefix      = KeyPrefix + "q/"
 	transferPrefix   = KeyPrefix + "m/"
 	drainPrefix      = KeyPrefix + "d/"
+	partPrefix       = KeyPrefix + "s/"
 )
 
 // RegistryKey is the key that every transaction writes that adds a machine. Machines have no
@@ -64,6 +65,7 @@
 	quotaKind
 	transferKind
 	drainKind
+	partKind
 	registryKind
 	formatKind
 )
@@ -97,6 +99,8 @@
 		return recordKey{transferKind, name}
 	case drainPrefix:
 		return recordKey{drainKind, name}
+	case partPrefix:
+		return recordKey{partKind, name}
 	}
 	switch key {
 	case RegistryKey:
@@ -111,4 +115,5 @@
 func (k recordKey) shard() ShardID                    { return ShardID(k.name) }
 func (k recordKey) controller() protocol.ControllerID { return protocol.ControllerID(k.name) }
 func (k recordKey) team() string                      { return k.name }
+func (k recordKey) part() PartName                    { return PartName(k.name) }
 func (k recordKey) transferSlot() TransferSlot        { return TransferSlot(k.name) }
--- a/internal/storage/keys_test.go
+++ b/internal/storage/keys_test.go
@@ -24,6 +24,7 @@
 		{name: "controller", key: ControllerKey("a"), value: `{"r":"a#1"}`},
 		{name: "quota", key: QuotaKey("team"), value: `{}`, keptAfterDelete: true, malformedAllowed: true},
 		{name: "transfer", key: TransferKey("b/0"), value: transfer},
+		{name: "part", key: PartKey("j/j-1/00"), value: `{"p":"text"}`},
 		{name: "drain", key: DrainKey("a"), value: `{"s":1}`},
 		{name: "registry", key: RegistryKey, value: `{}`, keptAfterDelete: true, malformedAllowed: true},
 		{name: "format", key: FormatKey, value: `{"w":2,"b":"a#1"}`, keptAfterDelete: true},
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -64,6 +64,11 @@
 	// It is zero for a job that was never cancelled.
 	CancelUpdatedAt protocol.Millis `json:"o,omitempty"`
 	TaskCount       int             `json:"k,omitempty"` // set only for a done job
+
+	// SpecParts lists the parts that hold Spec, which is then not in the value. StateParts
+	// lists the parts that hold the fields above other than Spec.
+	SpecParts  []PartHash `json:"y,omitempty"`
+	StateParts []PartHash `json:"x,omitempty"`
 }
 
 // IsCancelledOrCancelling reports whether the job is cancelled or its cancellation has been
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"tillerarch/internal/protocol"
@@ -14,7 +15,7 @@
 type Versioned[T any] struct {
 	Record      T
 	ModRevision protocol.ModRevision
-	EncodedSize int // size of the encoded record in bytes
+	EncodedSize int // size in bytes of what a change of the record writes
 }
 
 // Replica is a copy of all records. It contains all changes up to Revision, and possibly later
@@ -46,6 +47,18 @@
 	// watch and this process's own writes reach the replica in any order, and an older value
 	// must not restore a deleted shard.
 	tombstones map[string]protocol.ModRevision
+
+	parts map[PartName]*Versioned[partRecord]
+
+	// incomplete holds, by key, the newest values that refer to parts that have not arrived.
+	// The replica keeps the earlier record until they have.
+	incomplete map[string]incompleteRecord
+}
+
+// incompleteRecord is a value that refers to parts that are not known yet.
+type incompleteRecord struct {
+	data        json.RawMessage
+	modRevision protocol.ModRevision
 }
 
 // NewReplica returns an empty replica.
@@ -63,6 +76,8 @@
 		machineIndex:       newMachineIndex(),
 		completedTaskIndex: newCompletedTaskIndex(),
 		tombstones:         map[string]protocol.ModRevision{},
+		parts:              map[PartName]*Versioned[partRecord]{},
+		incomplete:         map[string]incompleteRecord{},
 	}
 }
 
@@ -89,6 +104,8 @@
 		return modRevisionOf(r.Transfers, key.transferSlot())
 	case drainKind:
 		return modRevisionOf(r.Drains, key.controller())
+	case partKind:
+		return modRevisionOf(r.parts, key.part())
 	case registryKind:
 		return r.RegistryRevision
 	case formatKind:
@@ -114,8 +131,15 @@
 	if revision <= r.modRevision(parsed) || revision <= r.tombstones[key] {
 		return false, nil
 	}
+	if waiting, isIncomplete := r.incomplete[key]; isIncomplete && revision < waiting.modRevision {
+		return false, nil
+	}
 	delete(r.tombstones, key)
-	if err := r.putNewer(parsed, data, revision); err != nil {
+	delete(r.incomplete, key)
+	if err := r.putNewer(parsed, data, revision); errors.Is(err, errPartsMissing) {
+		r.incomplete[key] = incompleteRecord{data, revision}
+		return false, nil
+	} else if err != nil {
 		return false, fmt.Errorf("decode record %s at revision %d: %w", key, revision, err)
 	}
 	return true, nil
@@ -136,6 +160,8 @@
 		return putRecord(r.Transfers, key.transferSlot(), data, revision, decodeTransfer)
 	case drainKind:
 		return putRecord(r.Drains, key.controller(), data, revision, decodeJSON)
+	case partKind:
+		return r.putPart(key.part(), data, revision)
 	case registryKind:
 		r.RegistryRevision = revision
 	case formatKind:
@@ -179,10 +205,12 @@
 // putJob applies a job's record and updates UnfinishedJobs and CancellingJobs.
 func (r *Replica) putJob(id protocol.JobID, data json.RawMessage, revision protocol.ModRevision) error {
 	r.completedTaskIndex.invalidateJob(id)
-	if err := putRecord(r.Jobs, id, data, revision, decodeJob); err != nil {
+	decode := func(data json.RawMessage) (JobRecord, error) { return decodeJobInParts(id, data, r.partText) }
+	if err := putRecord(r.Jobs, id, data, revision, decode); err != nil {
 		return err
 	}
 	entry := r.Jobs[id]
+	entry.EncodedSize += r.partBytes(JobKey(id), entry.Record.StateParts)
 	delete(r.CancellingJobs, id)
 	if entry.Record.State.IsTerminal() || entry.Record.Spec == nil {
 		delete(r.UnfinishedJobs, id)
@@ -203,6 +231,9 @@
 	if revision <= r.modRevision(parsed) {
 		return
 	}
+	if r.incomplete[key].modRevision < revision {
+		delete(r.incomplete, key)
+	}
 	switch parsed.kind {
 	case shardKind:
 		r.addTombstone(key, revision)
@@ -213,6 +244,8 @@
 		delete(r.Transfers, parsed.transferSlot())
 	case drainKind:
 		delete(r.Drains, parsed.controller())
+	case partKind:
+		delete(r.parts, parsed.part())
 	case jobKind:
 		delete(r.Jobs, parsed.job())
 		delete(r.UnfinishedJobs, parsed.job())
--- a/internal/storage/replica_shards.go
+++ b/internal/storage/replica_shards.go
@@ -13,8 +13,9 @@
 	Epoch          ShardEpoch
 	ModRevision    protocol.ModRevision
 	OwnedSince     protocol.ModRevision // revision of the change that made Owner the owner, or of a later change
-	EncodedSize    int                  // size of the encoded record in bytes
+	EncodedSize    int                  // size of the encoded record in bytes, including its parts
 	Format         Format               // format of the encoded record
+	Parts          []PartHash           // of a record that does not fit one value; otherwise nil
 	packedSize     int                  // size in bytes in the packed format, or 0 if not computed yet
 	Machines       []protocol.MachineID // in the order of the encoded record
 	CompletedTasks map[protocol.JobID]TaskSet
@@ -23,7 +24,7 @@
 // putShard applies a shard's record to the shard, its machines and the indexes. It rejects the
 // whole record if the line of one machine is malformed.
 func (r *Replica) putShard(shardID ShardID, data json.RawMessage, revision protocol.ModRevision) error {
-	decoded, format, err := decodeShard(data)
+	decoded, format, err := decodeShard(shardID, data, r.partText)
 	if err != nil {
 		return err
 	}
@@ -32,8 +33,9 @@
 		Epoch:          decoded.Epoch,
 		ModRevision:    revision,
 		OwnedSince:     revision,
-		EncodedSize:    len(data),
+		EncodedSize:    len(data) + decoded.partBytes,
 		Format:         format,
+		Parts:          decoded.parts,
 		CompletedTasks: decoded.CompletedTasks,
 	}
 	records, err := r.parseShardMachines(shard, decoded.Machines)
--- a/internal/storage/shards.go
+++ b/internal/storage/shards.go
@@ -44,6 +44,9 @@
 	// CompletedTasks holds the completed tasks that are not yet in the records of their jobs,
 	// so that the record of a running array need not be written with every shard.
 	CompletedTasks map[protocol.JobID]TaskSet `json:"d,omitempty"`
+
+	parts     []PartHash // of a shard in parts; otherwise nil
+	partBytes int        // total size of the texts of the parts
 }
 
 // packedShard is the value of a ShardKey in the packed format. Its field "m" is a string where
@@ -63,7 +66,7 @@
 	lines []string,
 	completed map[protocol.JobID]TaskSet,
 ) json.RawMessage {
-	return MustMarshal(encodedShard{owner, epoch, lines, completed})
+	return MustMarshal(encodedShard{Owner: owner, Epoch: epoch, Machines: lines, CompletedTasks: completed})
 }
 
 // EncodeShard encodes a shard's record in the given format. The lines are those that
@@ -81,16 +84,27 @@
 	return EncodePlainShard(owner, epoch, lines, completed)
 }
 
-// decodeShard decodes a shard's record in any format and returns that format.
-func decodeShard(data json.RawMessage) (shard encodedShard, format Format, err error) {
+// decodeShard decodes a shard's record in any format and returns that format. lookup returns the
+// parts of a record in FormatParts.
+func decodeShard(id ShardID, data json.RawMessage, lookup PartLookup) (shard encodedShard, format Format, err error) {
 	var decoded struct {
 		encodedShard
 		Machines json.RawMessage `json:"m"`
+		Parts    []PartHash      `json:"y"`
 	}
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return shard, FormatPlain, err
 	}
 	shard = decoded.encodedShard
+	if len(decoded.Parts) > 0 {
+		packed, err := joinParts(ShardKey(id), decoded.Parts, lookup)
+		if err != nil {
+			return shard, FormatParts, err
+		}
+		shard.parts, shard.partBytes = decoded.Parts, len(packed)
+		shard.Machines, shard.CompletedTasks, err = unpackShard(packed)
+		return shard, FormatParts, err
+	}
 	if len(decoded.Machines) > 0 && decoded.Machines[0] == '"' {
 		var packed string
 		if err := json.Unmarshal(decoded.Machines, &packed); err != nil {
@@ -113,8 +127,8 @@
 }
 
 // DecodeShardSummary decodes the owner, epoch and machines from a shard's record in any format.
-func DecodeShardSummary(data json.RawMessage) (ShardSummary, error) {
-	shard, _, err := decodeShard(data)
+func DecodeShardSummary(id ShardID, data json.RawMessage, lookup PartLookup) (ShardSummary, error) {
+	shard, _, err := decodeShard(id, data, lookup)
 	if err != nil {
 		return ShardSummary{}, err
 	}
--- a/internal/storage/shards_packed_test.go
+++ b/internal/storage/shards_packed_test.go
@@ -54,11 +54,11 @@
 			plain := EncodeShard(FormatPlain, "stall-0#7", 3, lines, completed)
 			packed := EncodeShard(FormatPacked, "stall-0#7", 3, lines, completed)
 			t.Logf("%d bytes plain, %d packed", len(plain), len(packed))
-			want, _, err := decodeShard(plain)
+			want, _, err := decodeShard("s", plain, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, format, err := decodeShard(packed)
+			got, format, err := decodeShard("s", packed, nil)
 			if err != nil || format != FormatPacked {
 				t.Fatalf("packed shard decoded in format %d, error %v, want FormatPacked", format, err)
 			}
