Limits of the store that fall without an announcement show in its refusals

Evidence: on the three rows "not announced" of TestLoweredLimitsWithLongDescriptions fail (jobs left waiting 2m48s though capacity is free, long jobs not ended). Change: a refusal within the known limits is taken for the number of operations first: they are halved and then grow to one less than what was refused. With as few operations as possible the largest value is taken to be the reason and half of it for the limit, and the newer storage format is asked for. If the values are small the refusal has another reason, and the refused records are postponed. What was concluded is kept for two minutes, or by announced limits that a refusal shows to be active. New jobs are still judged by the settings: one that exceeds an assumed limit is written in parts.

--- a/internal/coordination/commit/format_upgrade.go
+++ b/internal/coordination/commit/format_upgrade.go
@@ -133,11 +133,16 @@
 }
 
 // onTransactionTooLarge handles a transaction that the store refused as invalid. The announced limits
-// are active if the transaction exceeds them. The next transactions are smaller in any case.
-func (u *FormatUpgrade) onTransactionTooLarge(transaction *protocol.Transaction) {
+// are active if the transaction exceeds them. The next transactions are smaller in any case. It reports
+// false if the transaction is so small that its size cannot be the reason.
+func (u *FormatUpgrade) onTransactionTooLarge(transaction *protocol.Transaction) (isSizeSuspected bool) {
 	if u.Config.AnnouncedLimits != nil && u.limits.StorageFormat() < storage.FormatPacked &&
 		!u.limits.AdmissionLimits().Allows(transaction) {
 		u.areAnnouncedLimitsActive = true
+		u.limits.observeAnnounced(*u.Config.AnnouncedLimits)
+		return true
 	}
-	u.limits.shrinkTransactions()
+	isSizeSuspected = u.limits.observeRefusal(transaction)
+	u.limits.needsNewerFormat = u.limits.needsNewerFormat || u.limits.observed.valueBytes > 0
+	return isSizeSuspected
 }
--- a/internal/coordination/commit/outcomes.go
+++ b/internal/coordination/commit/outcomes.go
@@ -81,8 +81,7 @@
 		delay = c.Jitter(unavailableDelay)
 	case storage.OutcomeInvalid:
 		c.Log(slog.LevelError, "transaction rejected as invalid", "error", result.Err)
-		// Whichever limit the transaction exceeded, a smaller one passes.
-		c.upgrade.onTransactionTooLarge(&pending.transaction)
+		c.handleRefusal(pending)
 		delay = invalidDelay
 	case storage.OutcomeUnknown:
 		c.Log(slog.LevelWarn, "transaction outcome unknown", "error", result.Err)
@@ -92,6 +91,18 @@
 	return delay
 }
 
+// handleRefusal handles a transaction that the store refused as invalid. Whichever limit it exceeded, a
+// smaller one passes. If the size cannot be the reason, the records of the transaction are left out of
+// the next batches, so that the others are written.
+func (c *Committer) handleRefusal(pending *pendingTransaction) {
+	if c.upgrade.onTransactionTooLarge(&pending.transaction) {
+		return
+	}
+	for _, operation := range pending.transaction.Operations {
+		c.postponeRecord(operation, "refused by the store")
+	}
+}
+
 // onUnknownOutcome arranges for an unknown outcome to be resolved. The transaction may be applied
 // now, later or never.
 func (c *Committer) onUnknownOutcome(pending *pendingTransaction) {
--- a/internal/coordination/commit/oversized_records_test.go
+++ b/internal/coordination/commit/oversized_records_test.go
@@ -204,3 +204,45 @@
 		t.Errorf("%d unused parts are left, want 0 and the machine on record", got)
 	}
 }
+
+// Limits that fall without an announcement show in refusals: first fewer operations are tried, then smaller
+// values. A refusal of small values has another reason, and only postpones the refused records.
+func TestRefusalsShowLimits(t *testing.T) {
+	controller := newReadyController(t)
+	limits := controller.Limits
+	transaction := func(values ...int) *protocol.Transaction {
+		transaction := &protocol.Transaction{}
+		for i, size := range values {
+			operation := protocol.Operation{PutKey: storage.JobKey(protocol.JobID(fmt.Sprintf("j-%d", i))), Value: make([]byte, size)}
+			transaction.Operations = append(transaction.Operations, operation)
+		}
+		return transaction
+	}
+	refuse := func(values ...int) {
+		controller.Committer.handleRefusal(&pendingTransaction{transaction: *transaction(values...)})
+	}
+	refuse(300, 300, 300, 300, 300, 300)
+	if limits.maxTransactionOps >= 8 || limits.WriteLimits().ValueBytes != 8192 {
+		t.Errorf("up to %d operations and %d bytes a value after a refusal of 6 operations, want fewer operations and 8192 bytes",
+			limits.maxTransactionOps, limits.WriteLimits().ValueBytes)
+	}
+	for range 20 {
+		limits.resetTransactionOps()
+	}
+	if limits.maxTransactionOps != 5 {
+		t.Errorf("transactions grow to %d operations, want 5, one less than what was refused", limits.maxTransactionOps)
+	}
+	refuse(6000, 300)
+	if got := limits.WriteLimits().ValueBytes; got != 3000 || !limits.needsNewerFormat {
+		t.Errorf("the assumed limit is %d bytes and a newer format is needed: %v; want 3000 and true", got, limits.needsNewerFormat)
+	}
+	refuse(300)
+	if got := limits.WriteLimits().ValueBytes; got != 3000 || !controller.ShardWriter.isPostponed(storage.JobKey("j-0")) {
+		t.Errorf("the assumed limit is %d bytes after a refusal of a small value, want 3000 and the record postponed", got)
+	}
+	controller.Advance(observedLimitTTL + time.Second)
+	limits.resetTransactionOps()
+	if got := limits.WriteLimits().ValueBytes; got != 8192 || limits.maxTransactionOps != 8 {
+		t.Errorf("limits of %d bytes and %d operations after the observation has expired, want 8192 and 8", got, limits.maxTransactionOps)
+	}
+}
--- a/internal/coordination/commit/write_limiter.go
+++ b/internal/coordination/commit/write_limiter.go
@@ -38,17 +38,19 @@
 	limiter           *rate.Limiter
 	writeRate         float64 // operations per second that this controller allows itself
 	maxTransactionOps int     // present maximum number of operations in a transaction
-	needsNewerFormat  bool    // a record can only be written in a newer storage format
+	observed          observedLimits
+	needsNewerFormat  bool // a record can only be written in a newer storage format
 }
 
 // WriteLimits returns the limits for everything that is written now. Once the packed format is in
 // use, because all controllers can read it, they are the stricter of the current and the announced
-// limits. The announced limits may take effect at any time from then on, without notice.
+// limits. The announced limits may take effect at any time from then on, without notice. Limits that
+// the store's refusals show apply in addition.
 func (w *WriteLimiter) WriteLimits() step.WriteLimits {
 	if w.StorageFormat() < storage.FormatPacked {
-		return w.Config.CurrentLimits()
+		return w.observed.strictest(w.Config.CurrentLimits())
 	}
-	return w.AdmissionLimits()
+	return w.observed.strictest(w.AdmissionLimits())
 }
 
 // AdmissionLimits returns the limits that the record of a new job must meet permanently. They are the
@@ -135,7 +137,15 @@
 	w.maxTransactionOps = max(w.maxTransactionOps/2, minTransactionOps)
 }
 
-// resetTransactionOps allows transactions of full size again.
+// resetTransactionOps allows transactions of full size again. After a refusal they grow step by step
+// to one operation less than what was refused.
 func (w *WriteLimiter) resetTransactionOps() {
-	w.maxTransactionOps = w.WriteLimits().TransactionOps
+	w.observed.expire(w.Now.Monotonic)
+	limits := w.WriteLimits()
+	if w.observed.refusedOps == 0 {
+		w.maxTransactionOps = limits.TransactionOps
+		return
+	}
+	maxOps := max(min(limits.TransactionOps, w.observed.refusedOps-1), minTransactionOps)
+	w.maxTransactionOps = min(w.maxTransactionOps+1, maxOps)
 }
--- a/internal/simulation/lowered_limits_test.go
+++ b/internal/simulation/lowered_limits_test.go
@@ -95,6 +95,16 @@
 		{"announced by restarts", newMixedWorld, 60, announceByRestarts},
 		{"announced by an upgrade", newUpgradeWorld, 60, upgradeInTurn},
 		{"announced by an upgrade that stops half-way", newUpgradeWorld, 95, upgradeStopsHalfWay},
+		{"not announced", newMixedWorld, 60, func(*World) {}},
+		{"not announced, during an upgrade", newUpgradeWorld, 60, func(w *World) {
+			w.Config.AnnouncedLimits = nil
+			upgradeStopsHalfWay(w)
+		}},
+		{"not announced, and all controllers restart afterwards", newMixedWorld, 60, func(w *World) {
+			for i, controller := range w.Controllers {
+				controller.ScheduleRestart(seconds(68+0.3*float64(i)), seconds(1+i))
+			}
+		}},
 		{"announced, and the owners of jobs and machines end", newMixedWorld, 60, func(w *World) {
 			announceByRestarts(w)
 			w.Controllers[0].ScheduleRestart(seconds(66), seconds(25))
