The quota key of a team whose name the store refuses holds a hash

What callers would see: a team with a limit whose name has a space or is longer than some 195 bytes gets no placement at all, as each transaction with its key is answered 400, and the transactions of the others shrink each time. Cause: QuotaKey took the name as it is; the store takes keys of 1 to 200 bytes without spaces (seen by the review while reading). Change: such a name is replaced by its hash. Measured: TestQuotaKeyIsAccepted, which fails before (key "t/q/ledger desk").

--- a/internal/storage/keys.go
+++ b/internal/storage/keys.go
@@ -1,6 +1,13 @@
 package storage
 
-import "tillerarch/internal/protocol"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"unicode"
+
+	"tillerarch/internal/protocol"
+)
 
 // KeyPrefix is the prefix of all keys. All keys share it so that one watch reports every change
 // and the revision of the replica can reach that of the store.
@@ -18,6 +25,13 @@
 	partPrefix       = KeyPrefix + "s/"
 )
 
+const (
+	// maxKeyBytes is the maximum length of a key of the store.
+	maxKeyBytes = 200
+	// hashedNamePrefix marks a hash in a key that stands in place of a name.
+	hashedNamePrefix = "~"
+)
+
 // RegistryKey is the key that every transaction writes that adds a machine. Machines have no
 // keys of their own whose absence a transaction could require. Without RegistryKey, two
 // controllers could add the same machine to two shards.
@@ -43,8 +57,18 @@
 	return controllerPrefix + string(controller)
 }
 
-// QuotaKey returns the key that serializes the placements of a team that has a limit.
-func QuotaKey(team string) string { return quotaPrefix + team }
+// QuotaKey returns the key that serializes the placements of a team that has a limit. A name that the
+// store does not accept as part of a key is replaced by a hash of it.
+func QuotaKey(team string) string {
+	if len(quotaPrefix)+len(team) <= maxKeyBytes && !strings.ContainsFunc(team, isForbiddenInKey) {
+		return quotaPrefix + team
+	}
+	digest := sha256.Sum256([]byte(team))
+	return quotaPrefix + hashedNamePrefix + hex.EncodeToString(digest[:])
+}
+
+// isForbiddenInKey reports whether the store refuses keys that contain a character.
+func isForbiddenInKey(char rune) bool { return unicode.IsSpace(char) || unicode.IsControl(char) }
 
 // TransferKey returns the key of the transfer record in a slot.
 func TransferKey(slot TransferSlot) string { return transferPrefix + string(slot) }
@@ -114,6 +138,6 @@
 func (k recordKey) job() protocol.JobID               { return protocol.JobID(k.name) }
 func (k recordKey) shard() ShardID                    { return ShardID(k.name) }
 func (k recordKey) controller() protocol.ControllerID { return protocol.ControllerID(k.name) }
-func (k recordKey) team() string                      { return k.name }
+func (k recordKey) quota() string                     { return k.name }
 func (k recordKey) part() PartName                    { return PartName(k.name) }
 func (k recordKey) transferSlot() TransferSlot        { return TransferSlot(k.name) }
--- a/internal/storage/keys_test.go
+++ b/internal/storage/keys_test.go
@@ -1,7 +1,9 @@
 package storage
 
 import (
+	"strings"
 	"testing"
+	"unicode"
 
 	"tillerarch/internal/protocol"
 )
@@ -126,3 +128,28 @@
 		})
 	}
 }
+
+// The store refuses keys with spaces and keys of more than 200 bytes, so a team with such a name would never
+// get a placement under its limit. Different teams have different keys, and the key of an ordinary name is
+// the one that other versions use.
+func TestQuotaKeyIsAccepted(t *testing.T) {
+	long := strings.Repeat("t", 199)
+	seen := map[string]string{}
+	for _, team := range []string{"ledger-desk", "ledger desk", "ledger\tdesk", "ledger\u00a0desk", long, long + "a", long + "b"} {
+		key := QuotaKey(team)
+		if len(key) > 200 || strings.ContainsFunc(key, unicode.IsSpace) {
+			t.Errorf("key %q of team %q has %d bytes or a space, want at most 200 bytes and no space", key, team, len(key))
+		}
+		if other, isTaken := seen[key]; isTaken {
+			t.Errorf("teams %q and %q have the same key %q", team, other, key)
+		}
+		seen[key] = team
+		replica := NewReplica()
+		if _, err := replica.Put(key, []byte(`{}`), 5); err != nil || replica.ModRevision(QuotaKey(team)) != 5 {
+			t.Errorf("the revision of the key of team %q is %d, want 5; error %v", team, replica.ModRevision(QuotaKey(team)), err)
+		}
+	}
+	if got := QuotaKey("ledger-desk"); got != "t/q/ledger-desk" {
+		t.Errorf("the key of an ordinary name is %q, want t/q/ledger-desk", got)
+	}
+}
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -27,7 +27,7 @@
 	Shards           map[ShardID]*Shard
 	Machines         map[protocol.MachineID]*Machine
 	Controllers      map[protocol.ControllerID]*Versioned[ControllerRecord]
-	QuotaRevisions   map[string]protocol.ModRevision // last changes of the quota keys, by team
+	QuotaRevisions   map[string]protocol.ModRevision // last changes of the quota keys, by the part after the prefix
 	Transfers        map[TransferSlot]*Versioned[TransferRecord]
 	Drains           map[protocol.ControllerID]*Versioned[DrainRecord]
 	RegistryRevision protocol.ModRevision                     // last change of RegistryKey
@@ -99,7 +99,7 @@
 	case controllerKind:
 		return modRevisionOf(r.Controllers, key.controller())
 	case quotaKind:
-		return r.QuotaRevisions[key.team()]
+		return r.QuotaRevisions[key.quota()]
 	case transferKind:
 		return modRevisionOf(r.Transfers, key.transferSlot())
 	case drainKind:
@@ -155,7 +155,7 @@
 	case controllerKind:
 		return putRecord(r.Controllers, key.controller(), data, revision, decodeJSON)
 	case quotaKind:
-		r.QuotaRevisions[key.team()] = revision
+		r.QuotaRevisions[key.quota()] = revision
 	case transferKind:
 		return putRecord(r.Transfers, key.transferSlot(), data, revision, decodeTransfer)
 	case drainKind:
