--- a/internal/coordination/format_upgrade_test.go
+++ b/internal/coordination/format_upgrade_test.go
@@ -223,3 +223,48 @@
 			shardWrites, jobWrites, len(core.ctx.Replica.Shards))
 	}
 }
+
+// A job's description may take up 85% of a value and its completed tasks half of one. The record that has
+// grown beyond a value is written in parts after the format is raised, also without announced limits, and
+// does not delay the records of other jobs.
+func TestRecordOutgrowsValue(t *testing.T) {
+	core, advance := newReadyCore(t)
+	self, limits := core.commit.Lease.Incarnation(), core.ctx.Config.CurrentLimits()
+	rng := rand.New(rand.NewPCG(3, 3))
+	spec := &protocol.Job{ID: "j-1", Class: "l", Team: "core", Kind: protocol.KindArray, Priority: "low", TaskCount: 5000, Cores: 1}
+	for range 48 {
+		name := make([]byte, 96)
+		for i := range name {
+			name[i] = byte('!' + rng.IntN(90))
+		}
+		spec.MachineTypes = append(spec.MachineTypes, protocol.MachineTypeName(name))
+	}
+	var completed storage.TaskSet
+	for index := 0; len(completed.String()) < 4000; index += 2 + rng.IntN(3) {
+		completed = completed.Add(index)
+	}
+	other := &protocol.Job{ID: "j-2", Class: "l", Team: "core", Kind: protocol.KindArray, Priority: "low", TaskCount: 1, Cores: 1}
+	putRecord(t, core, storage.JobKey("j-1"), storage.MustMarshal(storage.JobRecord{Spec: spec, Owner: self, NextAttempt: 1024}), 40)
+	putRecord(t, core, storage.JobKey("j-2"), storage.MustMarshal(storage.JobRecord{Spec: other, Owner: self, NextAttempt: 1024}), 41)
+	shard := storage.EncodePlainShard(self, 3, nil, map[protocol.JobID]storage.TaskSet{
+		"j-1": completed, "j-2": storage.TaskRange(0, 0),
+	})
+	putRecord(t, core, storage.ShardKey("empty"), shard, 42)
+	for range 60 {
+		for _, commit := range steptest.EffectsOf[step.Commit](advance(100*time.Millisecond, step.Tick{})) {
+			if !limits.Allows(&commit.Transaction) {
+				t.Errorf("a transaction of %d operations exceeds the limits", len(commit.Transaction.Operations))
+			}
+			advance(0, steptest.CommittedAt(commit.ID, core.ctx.Replica.Revision+60))
+		}
+		advance(0, steptest.UnchangedUntil(core.ctx.Replica.Revision, core.ctx.Replica.Revision+61))
+	}
+	record := core.ctx.Replica.Jobs["j-1"].Record
+	if len(record.SpecParts) == 0 || record.CompletedTasks.String() != completed.String() || len(record.Spec.MachineTypes) != 48 {
+		t.Errorf("the record has %d parts, %d completed tasks and %d machine types; want some parts, %d and 48",
+			len(record.SpecParts), record.CompletedTasks.Len(), len(record.Spec.MachineTypes), completed.Len())
+	}
+	if got := core.ctx.Replica.Jobs["j-2"].Record.State; got != protocol.JobDone {
+		t.Errorf("the other job has state %q, want done", got)
+	}
+}
--- a/internal/simulation/lowered_limits_test.go
+++ b/internal/simulation/lowered_limits_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 
+	"tillerarch/internal/coordination/requests"
 	"tillerarch/internal/coordination/step"
 	"tillerarch/internal/protocol"
 	"tillerarch/internal/storage"
@@ -81,6 +82,15 @@
 	}
 }
 
+// setDrainAt lets an operator start or end the drain of a controller.
+func (w *World) setDrainAt(at float64, controllerID protocol.ControllerID, isDraining bool) {
+	w.After(seconds(at), func() {
+		w.Controllers[2].DeliverOperatorRequest(func(id step.RequestID) step.Input {
+			return requests.DrainRequest{RequestID: id, Controller: controllerID, Drain: isDraining}
+		}, func(step.Effect) {})
+	})
+}
+
 // TestLoweredLimitsWithLongDescriptions lowers the limits of the store below the size of accepted jobs'
 // records. The jobs stay known, run and can be cancelled, other jobs are not delayed, and every record
 // that is still written fits the new limits. Before the fix such a job was rejected when it was submitted
@@ -110,6 +120,13 @@
 			w.Controllers[0].ScheduleRestart(seconds(66), seconds(25))
 			w.Controllers[1].ScheduleRestart(seconds(95), seconds(9))
 		}},
+		{"announced, and machines move to other controllers", newMixedWorld, 60, func(w *World) {
+			w.restartWithConfig(func(config *step.Config) { config.RecordTransfers = true })
+			announceByRestarts(w)
+			w.setDrainAt(61, "stall-0", true)
+			w.setDrainAt(80, "stall-0", false)
+			w.setDrainAt(82, "stall-1", true)
+		}},
 		{"announced, on a lossy network with a store outage", newMixedWorld, 60, func(w *World) {
 			announceByRestarts(w)
 			w.MessageLossRate, w.DelayedWriteRate = 0.02, 0.02
