Refused conditions count as refused operations, and the budget of completed tasks stays above zero

What callers would see, where limits fall without an announcement: a cancellation in one write with conditions on many shards is refused again and again, as it has one operation only (found while reading the change again, not seen to happen). And where a plain record's value limit is assumed below 1.5 KB, the budget for completed tasks is negative, so no task of an array is placed. Change: a refused transaction counts with the operations that the limit must allow for its conditions too, and the number that was concluded is part of the write limits, so whoever plans by them keeps to it. The budget is at least half of a value. "records loaded" tells how many records lack a part. Tests also for steps of the format between three versions, and for descriptions whose parts take several transactions (two operations each, values of 1 KiB).

--- a/internal/coordination/commit/format_upgrade_test.go
+++ b/internal/coordination/commit/format_upgrade_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// While controllers of different versions work together, the format is raised to the newest that all of
+// them read. A record that no older format can hold asks for that without announced limits.
+func TestFormatRaisedInSteps(t *testing.T) {
+	controller := newReadyController(t)
+	controller.Config.PeerIDs = []protocol.ControllerID{"stall-1"}
+	putController(t, controller, "stall-0", storage.FormatParts)
+	for _, test := range []struct {
+		name             string
+		peer             storage.Format
+		needsNewerFormat bool
+		want             storage.Format
+	}{
+		{"no record needs a newer format", storage.FormatParts, false, storage.FormatPlain},
+		{"the peer is of the version in production", storage.FormatPlain, true, storage.FormatPlain},
+		{"the peer reads the packed format only", storage.FormatPacked, true, storage.FormatPacked},
+		{"the peer reads the newest format", storage.FormatParts, true, storage.FormatParts},
+	} {
+		putController(t, controller, "stall-1", test.peer)
+		controller.Limits.needsNewerFormat = test.needsNewerFormat
+		if got := controller.Upgrade.raisableFormat(); got != test.want {
+			t.Errorf("%s: the format may be raised to %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
 // A transaction that the store refuses as too large is never sent again unchanged, because the next
 // transactions are smaller. The refusal shows that the announced limits are active if the transaction
 // exceeded the announced limits and not the current ones.
--- a/internal/coordination/commit/observed_limits.go
+++ b/internal/coordination/commit/observed_limits.go
@@ -21,16 +21,18 @@
 type observedLimits struct {
 	valueBytes int // 0 if no refusal shows a limit
 	valueAt    protocol.Instant
-	refusedOps int // size of the smallest transaction that was refused as too large, or 0
+	refusedOps int // operations that the limit must allow for the transaction that was refused last, or 0
 	refusedAt  protocol.Instant
 }
 
-// strictest returns the stricter of the given and the observed limits. The number of operations is not
-// limited here, because it adapts by itself (WriteLimiter.maxTransactionOps).
+// strictest returns the stricter of the given and the observed limits.
 func (o *observedLimits) strictest(limits step.WriteLimits) step.WriteLimits {
 	if o.valueBytes > 0 {
 		limits.ValueBytes = min(limits.ValueBytes, o.valueBytes)
 	}
+	if o.refusedOps > 0 {
+		limits.TransactionOps = min(limits.TransactionOps, max(o.refusedOps-1, minTransactionOps))
+	}
 	return limits
 }
 
@@ -46,14 +48,14 @@
 }
 
 // observeRefusal adapts the limits after the store has refused a transaction as invalid. A transaction
-// of several operations is tried again with half as many. If it has as few operations as possible, its
-// largest value is taken to be too large, and half of that for the limit. observeRefusal reports false
-// if the values are so small that the size cannot be the reason.
+// of several operations, or of many conditions, is tried again with fewer. If it has as few as possible,
+// its largest value is taken to be too large, and half of that for the limit. observeRefusal reports
+// false if the values are so small that the size cannot be the reason.
 func (w *WriteLimiter) observeRefusal(transaction *protocol.Transaction) (isSizeSuspected bool) {
 	w.observed.expire(w.Now.Monotonic)
 	w.shrinkTransactions()
-	if operations := len(transaction.Operations); operations > minTransactionOps {
-		w.observed.refusedOps, w.observed.refusedAt = operations, w.Now.Monotonic
+	if requiredOps := step.RequiredTransactionOps(transaction); requiredOps > minTransactionOps {
+		w.observed.refusedOps, w.observed.refusedAt = requiredOps, w.Now.Monotonic
 		return true
 	}
 	largest := protocol.Operation{}
--- a/internal/coordination/commit/oversized_records_test.go
+++ b/internal/coordination/commit/oversized_records_test.go
@@ -232,6 +232,11 @@
 	if limits.maxTransactionOps != 5 {
 		t.Errorf("transactions grow to %d operations, want 5, one less than what was refused", limits.maxTransactionOps)
 	}
+	conditions := &protocol.Transaction{Conditions: make([]protocol.Condition, 17), Operations: transaction(300).Operations}
+	controller.Committer.handleRefusal(&pendingTransaction{transaction: *conditions})
+	if got := limits.WriteLimits(); got.MaxConditions() != 16 || controller.ShardWriter.isPostponed(storage.JobKey("j-0")) {
+		t.Errorf("up to %d conditions after a refusal of 17, want 16 and nothing postponed", got.MaxConditions())
+	}
 	refuse(6000, 300)
 	if got := limits.WriteLimits().ValueBytes; got != 3000 || !limits.needsNewerFormat {
 		t.Errorf("the assumed limit is %d bytes and a newer format is needed: %v; want 3000 and true", got, limits.needsNewerFormat)
--- a/internal/coordination/commit/replication.go
+++ b/internal/coordination/commit/replication.go
@@ -140,7 +140,7 @@
 	r.isLoaded = r.Replica.Revision >= r.completeRevision
 	r.limits.UpdateWriteLimiter()
 	r.Log(slog.LevelInfo, "records loaded", "jobs", len(r.Replica.Jobs), "machines", len(r.Replica.Machines),
-		"revision", uint64(result.StartRevision))
+		"incomplete", r.Replica.IncompleteCount(), "revision", uint64(result.StartRevision))
 }
 
 // replaceReplica builds a new replica from the loaded entries, so that records deleted while this
--- a/internal/coordination/commit/write_limiter.go
+++ b/internal/coordination/commit/write_limiter.go
@@ -105,13 +105,14 @@
 
 // JobRecordBudget returns the number of bytes that a job's record may occupy besides the job's
 // description. It assumes that the description fits the rest of a value, which is half of the value
-// in the packed format and plainJobRecordReserve in the plain format.
+// in the packed format and at most plainJobRecordReserve in the plain format.
 func (w *WriteLimiter) JobRecordBudget() int {
-	valueBytes := w.WriteLimits().ValueBytes
+	limits := w.WriteLimits()
+	halfValue := limits.ValueBytes - maxSpecSize(limits)
 	if w.StorageFormat() < storage.FormatPacked {
-		return valueBytes - plainJobRecordReserve
+		return max(limits.ValueBytes-plainJobRecordReserve, halfValue)
 	}
-	return valueBytes - valueBytes/2
+	return halfValue
 }
 
 // takeWriteTokens takes the tokens for n operations and reports whether there were enough.
@@ -146,6 +147,5 @@
 		w.maxTransactionOps = limits.TransactionOps
 		return
 	}
-	maxOps := max(min(limits.TransactionOps, w.observed.refusedOps-1), minTransactionOps)
-	w.maxTransactionOps = min(w.maxTransactionOps+1, maxOps)
+	w.maxTransactionOps = min(w.maxTransactionOps+1, limits.TransactionOps)
 }
--- a/internal/coordination/step/write_limits.go
+++ b/internal/coordination/step/write_limits.go
@@ -18,6 +18,13 @@
 // MaxConditions returns the largest number of conditions in a transaction.
 func (l WriteLimits) MaxConditions() int { return conditionsPerOperation * l.TransactionOps }
 
+// RequiredTransactionOps returns the lowest limit of operations in a transaction under which the number
+// of operations and of conditions of the transaction are allowed.
+func RequiredTransactionOps(transaction *protocol.Transaction) int {
+	conditions := len(transaction.Conditions)
+	return max(len(transaction.Operations), (conditions+conditionsPerOperation-1)/conditionsPerOperation)
+}
+
 // Strictest returns the smaller value of each limit.
 func (l WriteLimits) Strictest(other WriteLimits) WriteLimits {
 	return WriteLimits{
--- a/internal/simulation/lowered_limits_test.go
+++ b/internal/simulation/lowered_limits_test.go
@@ -235,3 +235,39 @@
 		}
 	}
 }
+
+// TestDescriptionExceedsTransaction lowers the limits so far that the parts of one description take several
+// transactions: two operations each, and values of 1 KiB. All jobs must end all the same.
+func TestDescriptionExceedsTransaction(t *testing.T) {
+	limits := step.WriteLimits{WritesPerSecond: 40, TransactionOps: 2, ValueBytes: 1024}
+	for seed := uint64(1); seed <= seedCount(); seed++ {
+		w := newMixedWorld(t, seed)
+		w.CloudOutOfCapacity = true
+		jobs := []*protocol.Job{
+			newArray("j-680000", "l", "standard", 40, 1, 10),
+			newArray("j-680001", "l", "standard", 12, 1, 10),
+			newGang("j-680002", "l", "high", 3, 2, 10),
+		}
+		for i, job := range jobs {
+			w.After(seconds(5+2*i), func() { w.submitLong(job) })
+		}
+		w.After(seconds(30), func() { w.Config.AnnouncedLimits = &limits })
+		for i, controller := range w.Controllers {
+			controller.ScheduleRestart(seconds(32+4*i), seconds(1))
+		}
+		w.After(seconds(60), func() {
+			w.Store.MaxValueBytes, w.Store.MaxTransactionOperations = limits.ValueBytes, limits.TransactionOps
+			w.CloudOutOfCapacity = false
+		})
+		w.Advance(seconds(70))
+		w.Rules.FaultsEndedAt = w.Now
+		w.Advance(seconds(150))
+		checkRules(t, w, seed)
+		checkNoTransactionTooLarge(t, w, seed)
+		for _, job := range jobs {
+			if !w.FinishedJobs[job.ID] {
+				t.Errorf("seed %d: job %s has not ended", seed, job.ID)
+			}
+		}
+	}
+}
--- a/internal/storage/replica_parts.go
+++ b/internal/storage/replica_parts.go
@@ -33,6 +33,9 @@
 // HasPart reports whether the replica has a part.
 func (r *Replica) HasPart(name PartName) bool { return r.parts[name] != nil }
 
+// IncompleteCount returns the number of records of which a part has not arrived.
+func (r *Replica) IncompleteCount() int { return len(r.incomplete) }
+
 // partBytes returns the total size of the texts of parts of a record, in bytes.
 func (r *Replica) partBytes(recordKey string, hashes []PartHash) (size int) {
 	for _, hash := range hashes {
