Parts that the store refuses are left out of batches for a while

What callers would see: under an unannounced limit below 1 KiB a value the parts of a description are refused, are in the next batch again, and the records beside them are refused with them, without end (found while reading the change again, not seen to happen). Cause: a refused record is postponed, but writeRequestedParts and deleteUnusedParts did not ask whether a part is. Change: they do. Measured: TestRefusedPartsDelayNoOthers fails before ("the refused parts are in the next batch") and passes now.

--- a/internal/coordination/commit/oversized_records.go
+++ b/internal/coordination/commit/oversized_records.go
@@ -183,7 +183,8 @@
 		}
 		written := 0
 		for _, part := range parts {
-			if !w.Replica.HasPart(part.Name) && batch.HasCapacity(1) {
+			isDue := !w.Replica.HasPart(part.Name) && !w.isPostponed(storage.PartKey(part.Name))
+			if isDue && batch.HasCapacity(1) {
 				batch.putPart(part)
 				written++
 			}
@@ -203,7 +204,7 @@
 		owner := w.Replica.OwnerOfPart(name)
 		isResponsible := owner == w.lease.incarnation ||
 			!w.Replica.IsAlive(owner) && w.election.IsSuccessor(storage.PartKey(name))
-		if isResponsible && batch.HasCapacity(1) {
+		if isResponsible && !w.isPostponed(storage.PartKey(name)) && batch.HasCapacity(1) {
 			batch.deletePart(name)
 		}
 	}
--- a/internal/coordination/commit/oversized_records_test.go
+++ b/internal/coordination/commit/oversized_records_test.go
@@ -174,6 +174,32 @@
 	}
 }
 
+// Parts that the store refuses are left out of batches for a while, so that they delay no other record.
+func TestRefusedPartsDelayNoOthers(t *testing.T) {
+	controller := newLowLimitsController(t, storage.FormatParts)
+	self := controller.Lease.Incarnation()
+	controller.Put(t, storage.JobKey("j-1"), storage.MustMarshal(storage.JobRecord{Spec: longSpec("j-1"), Owner: self}), 40)
+	writeBatch := func() *Batch {
+		batch := controller.ShardWriter.NewBatch(4)
+		controller.ShardWriter.RewriteOversizedRecords(batch)
+		return batch
+	}
+	operations := writeBatch().Transaction().Operations
+	if len(operations) < 2 {
+		t.Fatalf("the batch has %d operations, want the parts of a description", len(operations))
+	}
+	for _, operation := range operations {
+		controller.Committer.postponeRecord(operation, "refused by the store")
+	}
+	if batch := writeBatch(); !batch.isEmpty() {
+		t.Error("the refused parts are in the next batch, want an empty batch")
+	}
+	controller.Advance(postponeDelay)
+	if got := writeBatch().Transaction().Operations; len(got) != len(operations) {
+		t.Errorf("%d parts are written after the delay, want %d", len(got), len(operations))
+	}
+}
+
 // A shard of one machine that exceeds a value is written in parts, and the parts that it no longer uses
 // are deleted.
 func TestOversizedShardOfOneMachine(t *testing.T) {
