Capacity of a batch covers conditions and bytes, whatever is added

Cause: Batch.HasCapacity(0) asked for bytes only. A placement in a shard that the batch has already needs 0 further operations but adds a condition on its job's key, so with many jobs the transaction had more than 4 x txn_ops conditions. It was not sent; halving the operations for the next one doesn't lower the conditions, and the same transaction was built again. Seen in the log: "transaction exceeds write limits, not sent", 2 operations and 55 conditions, which rules out operations, a large value and a refusal of the store. Change: HasCapacity counts operations, conditions (with the registration's) and encoded bytes, also for 0 operations; HasCapacityWith takes further keys. Sizes are those of the encoded transaction (conditions were not counted at all). Kin found by reading: a transfer on record (4 conditions for a capacity of 2), a drain (a condition for each controller), a cancellation in one write, a split of a shard that needs several operations, new jobs and reservations that counted as 700 and 200 bytes, values above half of a transaction. A transaction that is too large all the same is built smaller, down to one operation, and then its records are left out for 5 s, so that it can't stop the others. Two rows of TestWriteCancellations count shards now, each machine on its own: the bound is on conditions, and they meet it exactly. Not changed: the change of the storage format rests on all controllers' keys; it exceeds the limit from 4 x txn_ops controllers on only.

--- a/internal/coordination/cancellation/canceller.go
+++ b/internal/coordination/cancellation/canceller.go
@@ -39,7 +39,6 @@
 	calls             *agents.Caller
 	committer         *commit.Committer
 	lease             *commit.Lease
-	limits            *commit.WriteLimiter
 	successorElection SuccessorElection
 	peerNotifier      PeerNotifier
 	replication       *commit.Replication
--- a/internal/coordination/cancellation/fixture_test.go
+++ b/internal/coordination/cancellation/fixture_test.go
@@ -46,7 +46,6 @@
 		Calls:             fixture.agents.Calls,
 		Committer:         fixture.commit.Committer,
 		Lease:             fixture.commit.Lease,
-		Limits:            fixture.commit.Limits,
 		SuccessorElection: peers,
 		PeerNotifier:      peers,
 		Replication:       fixture.commit.Replication,
@@ -96,17 +95,27 @@
 	return entry, f.recordHeartbeat(entry, taskState)
 }
 
+// maxDirectCancelShards returns the number of shards on which a batch may depend that cancels a job in one
+// write. The other conditions are on the job's record and on the registration of the controller.
+func maxDirectCancelShards(fixture *cancellationFixture) int {
+	const otherConditions = 2
+	return fixture.commit.Limits.WriteLimits().MaxConditions() - otherConditions
+}
+
 // putQuiescentMachines puts the records of machines of this controller, each of which runs a task of the
-// test job.
+// test job and has a shard of its own. The first shard is "p".
 func (f *cancellationFixture) putQuiescentMachines(t *testing.T, count int) {
 	t.Helper()
 	record := storage.MachineRecord{MachineType: "s", Zone: "a", AgentEpoch: 2}
 	record.Assign(protocol.Task{Job: testJob}, 5)
-	lines := make([]string, count)
-	for i := range lines {
-		lines[i] = record.EncodeLine(protocol.MachineID(fmt.Sprintf("m-%d", i)))
+	for i := range count {
+		shard := storage.ShardID("p")
+		if i > 0 {
+			shard = storage.ShardID(fmt.Sprintf("p-%d", i))
+		}
+		line := record.EncodeLine(protocol.MachineID(fmt.Sprintf("m-%d", i)))
+		f.Put(t, storage.ShardKey(shard), storage.EncodePlainShard(testIncarnation, 3, []string{line}, nil), 2)
 	}
-	f.Put(t, storage.ShardKey("p"), storage.EncodePlainShard(testIncarnation, 3, lines, nil), 2)
 	for _, entry := range f.Replica.Machines {
 		f.recordHeartbeat(entry, protocol.TaskRunning)
 	}
--- a/internal/coordination/cancellation/parts.go
+++ b/internal/coordination/cancellation/parts.go
@@ -23,7 +23,6 @@
 	Calls             *agents.Caller
 	Committer         *commit.Committer
 	Lease             *commit.Lease
-	Limits            *commit.WriteLimiter
 	SuccessorElection SuccessorElection
 	PeerNotifier      PeerNotifier
 	Replication       *commit.Replication
@@ -36,7 +35,6 @@
 	p.Canceller.calls = dependencies.Calls
 	p.Canceller.committer = dependencies.Committer
 	p.Canceller.lease = dependencies.Lease
-	p.Canceller.limits = dependencies.Limits
 	p.Canceller.successorElection = dependencies.SuccessorElection
 	p.Canceller.peerNotifier = dependencies.PeerNotifier
 	p.Canceller.replication = dependencies.Replication
--- a/internal/coordination/cancellation/requests.go
+++ b/internal/coordination/cancellation/requests.go
@@ -9,16 +9,9 @@
 	"tillerarch/internal/storage"
 )
 
-const (
-	// unwrittenRequestTimeout is the time for which a request is kept that could not be recorded in the
-	// store. The user's call was rejected long before, but the user did request the cancellation.
-	unwrittenRequestTimeout = 30 * time.Second
-
-	// directCancelConditionsPerOp is the maximum number of conditions in a batch with a direct
-	// cancellation for each operation that a transaction may contain. The store accepts four conditions
-	// for each operation. The rest is left to the other changes in the batch.
-	directCancelConditionsPerOp = 3
-)
+// unwrittenRequestTimeout is the time for which a request is kept that could not be recorded in the
+// store. The user's call was rejected long before, but the user did request the cancellation.
+const unwrittenRequestTimeout = 30 * time.Second
 
 // RequestCancellation begins the cancellation of a job, or takes over a cancellation that another
 // controller has begun.
@@ -78,8 +71,7 @@
 		c.committer.HasPendingConditionOn(storage.JobKey(jobID)) {
 		return false
 	}
-	maxConditions := directCancelConditionsPerOp * c.limits.WriteLimits().TransactionOps
-	if batch.ConditionCount()+len(c.Replica.MachinesWithJob(jobID)) > maxConditions {
+	if !batch.HasCapacityWith(batch.OpsNeeded("", jobID), c.shardKeysOf(jobID)...) {
 		return false
 	}
 	for machineID := range c.Replica.MachinesWithJob(jobID) {
@@ -95,9 +87,17 @@
 // job. If one of the shards is transferred in the meantime, either the transfer is written before the
 // batch, which then fails, or the transfer is not written at all.
 func (c *Canceller) dependOnShards(batch *commit.Batch, jobID protocol.JobID) {
+	for _, key := range c.shardKeysOf(jobID) {
+		batch.DependOn(key)
+	}
+}
+
+// shardKeysOf returns the keys of the shards of all machines with tasks of a job. A key may occur repeatedly.
+func (c *Canceller) shardKeysOf(jobID protocol.JobID) (keys []string) {
 	for machineID := range c.Replica.MachinesWithJob(jobID) {
-		batch.DependOn(storage.ShardKey(c.Replica.Machines[machineID].Record.Shard))
+		keys = append(keys, storage.ShardKey(c.Replica.Machines[machineID].Record.Shard))
 	}
+	return keys
 }
 
 // writeRequest writes the first step of a cancellation, the request, to the batch.
--- a/internal/coordination/cancellation/requests_test.go
+++ b/internal/coordination/cancellation/requests_test.go
@@ -73,18 +73,18 @@
 			wantWrite: cancelRequest,
 		},
 		{
-			name: "on more machines than a batch may depend on",
+			name: "on more shards than a batch may depend on",
 			setUp: func(t *testing.T, fixture *cancellationFixture) {
 				fixture.putJob(t, nil)
-				fixture.putQuiescentMachines(t, directCancelConditionsPerOp*fixture.Config.TransactionOps+1)
+				fixture.putQuiescentMachines(t, maxDirectCancelShards(fixture)+1)
 			},
 			wantWrite: cancelRequest,
 		},
 		{
-			name: "on as many machines as a batch may depend on",
+			name: "on as many shards as a batch may depend on",
 			setUp: func(t *testing.T, fixture *cancellationFixture) {
 				fixture.putJob(t, nil)
-				fixture.putQuiescentMachines(t, directCancelConditionsPerOp*fixture.Config.TransactionOps)
+				fixture.putQuiescentMachines(t, maxDirectCancelShards(fixture))
 			},
 			wantWrite:          confirmation,
 			wantShardCondition: true,
--- a/internal/coordination/commit/batch.go
+++ b/internal/coordination/commit/batch.go
@@ -15,12 +15,14 @@
 // replica holds of the changed record. The store refuses the transaction if one of these records
 // has changed since.
 //
-// Callers must check the capacity (HasCapacity, CanWriteMachines, CanAddMachine) before each change,
-// because the methods that change records do not check it.
+// Callers must check the capacity (HasCapacity, HasCapacityWith, CanWriteMachines, CanAddMachine) before each
+// change, because the methods that change records do not check it. The capacity covers all limits of a
+// transaction: operations, conditions and bytes.
 type Batch struct {
 	shardWriter *ShardWriter
 
 	opsLeft        int // operations that can still be added
+	maxConditions  int // conditions of the whole transaction
 	estimatedBytes int // estimated size of the transaction
 
 	conditions     map[string]protocol.ModRevision
@@ -39,11 +41,13 @@
 	logsOnApply         []step.Effect                      // log lines to emit once the transaction is applied
 }
 
-// NewBatch returns an empty batch that can hold up to maxOps operations.
+// NewBatch returns an empty batch that can hold up to maxOps operations. Its conditions are limited by the
+// present size of transactions (WriteLimiter.MaxConditions).
 func (w *ShardWriter) NewBatch(maxOps int) *Batch {
 	return &Batch{
 		shardWriter:         w,
 		opsLeft:             maxOps,
+		maxConditions:       w.limits.MaxConditions(),
 		conditions:          map[string]protocol.ModRevision{},
 		jobs:                map[protocol.JobID]*storage.JobRecord{},
 		shards:              map[storage.ShardID]*ShardDraft{},
@@ -58,13 +62,20 @@
 }
 
 // DependOn makes the transaction conditional on the revision that the replica holds of a key.
-func (b *Batch) DependOn(key string) { b.conditions[key] = b.shardWriter.Replica.ModRevision(key) }
+func (b *Batch) DependOn(key string) {
+	if _, isKnown := b.conditions[key]; !isKnown {
+		condition := protocol.Condition{Key: key}
+		b.estimatedBytes += condition.Size()
+	}
+	b.conditions[key] = b.shardWriter.Replica.ModRevision(key)
+}
 
-// reserveWrite counts one operation that writes a key, with an estimated size in bytes.
+// reserveWrite counts one operation that writes a key, with a value of an estimated size in bytes.
 func (b *Batch) reserveWrite(key string, size int) {
 	b.DependOn(key)
 	b.opsLeft--
-	b.estimatedBytes += size
+	operation := protocol.Operation{PutKey: key}
+	b.estimatedBytes += operation.Size() + size
 }
 
 // OnSend registers a function to call when the transaction is sent.
--- a/internal/coordination/commit/batch_capacity.go
+++ b/internal/coordination/commit/batch_capacity.go
@@ -5,9 +5,6 @@
 	"tillerarch/internal/storage"
 )
 
-// ConditionCount returns the number of keys on which the transaction is conditional so far.
-func (b *Batch) ConditionCount() int { return len(b.conditions) }
-
 // OpsLeft returns the number of operations that can still be added to the batch.
 func (b *Batch) OpsLeft() int { return b.opsLeft }
 
@@ -20,22 +17,41 @@
 // ReleaseOps makes n operations available that ReserveOps has withheld.
 func (b *Batch) ReleaseOps(n int) { b.opsLeft += n }
 
-// HasCapacity reports whether the batch has capacity to change n more records of the maximum size.
+// HasCapacity reports whether the batch has capacity to change n more records of the maximum size. The change
+// may add up to conditionsPerRecord conditions for each record, and one condition if n is 0.
 func (b *Batch) HasCapacity(n int) bool {
-	if n == 0 && b.estimatedBytes < protocol.MaxTransactionBytes {
-		return true
+	return b.hasCapacityFor(n, n*b.shardWriter.limits.WriteLimits().ValueBytes, max(conditionsPerRecord*n, 1))
+}
+
+// HasCapacityWith reports whether the batch has capacity to change n more records of the maximum size and to
+// depend on keys in addition. Each of the records adds one condition, on its own key.
+func (b *Batch) HasCapacityWith(n int, keys ...string) bool {
+	newKeys := map[string]bool{}
+	for _, key := range keys {
+		if _, isKnown := b.conditions[key]; !isKnown {
+			newKeys[key] = true
+		}
 	}
-	return b.hasCapacityFor(n, n*b.shardWriter.limits.WriteLimits().ValueBytes)
+	return b.hasCapacityFor(n, n*b.shardWriter.limits.WriteLimits().ValueBytes, n+len(newKeys))
 }
 
-// hasCapacityFor reports whether the batch has capacity to change n more records with a total size
-// of size bytes.
-func (b *Batch) hasCapacityFor(n, size int) bool {
-	const conditionsPerRecord = 2
-	return b.opsLeft >= n && b.estimatedBytes+size <= protocol.MaxTransactionBytes &&
-		len(b.conditions)+conditionsPerRecord*n < b.shardWriter.limits.WriteLimits().MaxConditions()
+// conditionsPerRecord is the number of conditions that the change of one record may add: one on the record's
+// own key, and one on the key of another record that the change rests on.
+const conditionsPerRecord = 2
+
+// hasCapacityFor reports whether the batch has capacity for further operations, with values of size bytes in
+// total, and further conditions.
+func (b *Batch) hasCapacityFor(operations, size, conditions int) bool {
+	conditions += registrationConditions
+	return b.opsLeft >= operations &&
+		len(b.conditions)+conditions <= b.maxConditions &&
+		b.estimatedBytes+maxEncodedSize(operations, size, conditions) <= protocol.MaxTransactionBytes
 }
 
+// registrationConditions is the number of conditions that every transaction has besides those of its batch
+// (Committer.registrationCondition).
+const registrationConditions = 1
+
 // IsPostponed reports whether the record under a key is left out of batches for now, because it could
 // not be written.
 func (b *Batch) IsPostponed(key string) bool { return b.shardWriter.isPostponed(key) }
@@ -94,10 +110,11 @@
 		}
 	}
 	maxOps := limits.TransactionOps * 3 / 4 // the rest is for changes that are added to a batch before placements
-	if totalOps <= maxOps && totalSize <= protocol.MaxTransactionBytes {
+	totalConditions := conditionsPerRecord*totalOps + registrationConditions
+	if totalOps <= maxOps && maxEncodedSize(totalOps, totalSize, totalConditions) <= protocol.MaxTransactionBytes {
 		opsWhenEmpty = totalOps
 	}
-	return b.hasCapacityFor(opsToAdd, sizeToAdd), opsWhenEmpty
+	return b.hasCapacityFor(opsToAdd, sizeToAdd, conditionsPerRecord*opsToAdd), opsWhenEmpty
 }
 
 // HasShardHeadroom reports whether the machine's shard can take more assignments. A shard stays
--- a/internal/coordination/commit/batch_changes.go
+++ b/internal/coordination/commit/batch_changes.go
@@ -29,7 +29,7 @@
 
 // AddJob adds the record of a new job. Callers must check the capacity for NewJobOps first.
 func (b *Batch) AddJob(id protocol.JobID, record *storage.JobRecord) {
-	b.reserveWrite(storage.JobKey(id), newJobRecordSize)
+	b.reserveWrite(storage.JobKey(id), len(storage.EncodeJob(b.shardWriter.limits.StorageFormat(), record)))
 	b.opsLeft -= b.NewJobOps(id, record) - 1 // reserveWrite has counted one operation
 	b.jobs[id] = record
 }
@@ -49,6 +49,15 @@
 	return &record
 }
 
+// ReserveMachines records that capacity is reserved for a job on machines, in place of an earlier reservation.
+func (b *Batch) ReserveMachines(id protocol.JobID, machines []protocol.MachineID) {
+	const separatorSize = 3
+	b.MutableJob(id).ReservedMachines = machines
+	for _, machine := range machines {
+		b.estimatedBytes += len(machine) + separatorSize
+	}
+}
+
 // RecordTaskCompleted records in the machine's shard that a task is completed.
 func (b *Batch) RecordTaskCompleted(id protocol.MachineID, task protocol.Task) {
 	draft := b.MutableShard(b.MachineRecord(id).Shard)
@@ -57,6 +66,7 @@
 	} else {
 		draft.completedTasks[task.Job] = storage.TaskRange(task.Index, task.Index)
 		draft.EstimatedSize += b.shardWriter.EstimateEncodedSize(completedTaskSetSize)
+		b.estimatedBytes += completedTaskSetSize
 	}
 	draft.EstimatedSize += b.shardWriter.EstimateEncodedSize(completedTaskSize)
 	b.estimatedBytes += completedTaskSize
--- a/internal/coordination/commit/committer.go
+++ b/internal/coordination/commit/committer.go
@@ -135,7 +135,8 @@
 
 // enforceWriteLimits reports whether a transaction is within the write limits. A transaction that
 // exceeds them is built again after rebuildDelay, without the records whose values are too large or, if
-// there are none, with fewer operations.
+// there are none, with fewer operations and conditions. If it cannot be smaller, its records are left out
+// of the next batches, so that no transaction that can never be sent delays the others.
 func (c *Committer) enforceWriteLimits(transaction *protocol.Transaction) bool {
 	limits := c.limits.WriteLimits()
 	if limits.Allows(transaction) {
@@ -144,7 +145,9 @@
 	if !c.postponeOversizedValues(transaction, limits) {
 		c.Log(slog.LevelError, "transaction exceeds write limits, not sent", "count", len(transaction.Operations),
 			"max_count", limits.TransactionOps, "conditions", len(transaction.Conditions), "bytes", transaction.Size())
-		c.limits.shrinkTransactions()
+		if !c.limits.shrinkUnsentTransactions() {
+			c.postponeRecords(transaction, "transaction too large")
+		}
 	}
 	c.nextCommitAt = c.Now.Monotonic.Add(rebuildDelay)
 	c.nextUserCommitAt = c.nextCommitAt
@@ -164,6 +167,13 @@
 	return found
 }
 
+// postponeRecords leaves all records that a transaction changes out of the next batches.
+func (c *Committer) postponeRecords(transaction *protocol.Transaction, reason string) {
+	for _, operation := range transaction.Operations {
+		c.postponeRecord(operation, reason)
+	}
+}
+
 // postponeRecord leaves the record that an operation changes out of the next batches.
 func (c *Committer) postponeRecord(operation protocol.Operation, reason string) {
 	key := operation.PutKey + operation.DeleteKey
--- a/internal/coordination/commit/completed_tasks.go
+++ b/internal/coordination/commit/completed_tasks.go
@@ -58,6 +58,7 @@
 		}
 		if record := batch.MutableJob(job); !record.State.IsTerminal() {
 			record.CompletedTasks = record.CompletedTasks.Union(draft.completedTasks[job])
+			batch.estimatedBytes += len(draft.completedTasks[job].String())
 		}
 		delete(draft.completedTasks, job)
 	}
--- a/internal/coordination/commit/outcomes.go
+++ b/internal/coordination/commit/outcomes.go
@@ -98,9 +98,7 @@
 	if c.upgrade.onTransactionTooLarge(&pending.transaction) {
 		return
 	}
-	for _, operation := range pending.transaction.Operations {
-		c.postponeRecord(operation, "refused by the store")
-	}
+	c.postponeRecords(&pending.transaction, "refused by the store")
 }
 
 // onUnknownOutcome arranges for an unknown outcome to be resolved. The transaction may be applied
--- a/internal/coordination/commit/shard_layout.go
+++ b/internal/coordination/commit/shard_layout.go
@@ -101,7 +101,7 @@
 	for _, id := range w.OwnedShards() {
 		shard := w.Replica.Shards[id]
 		isDue := shard.EncodedSize >= w.shardSplitThreshold() && len(shard.Machines) >= 2
-		if !isDue || batch.ChangesShard(id) || !batch.HasCapacity(2) || batch.IsPostponed(storage.ShardKey(id)) {
+		if !isDue || batch.ChangesShard(id) || !batch.HasCapacity(w.ShardWriteOps(id)+1) {
 			continue
 		}
 		batch.MutableShard(id)
--- a/internal/coordination/commit/size_estimates.go
+++ b/internal/coordination/commit/size_estimates.go
@@ -12,9 +12,18 @@
 	registryRecordSize = 100
 	drainRecordSize    = 50
 	transferRecordSize = 400
-	newJobRecordSize   = 700
 )
 
+// maxEncodedKeyBytes is the size, in bytes, that is reserved for an encoded operation without its value, and for
+// an encoded condition. Keys of records are far shorter than the store allows.
+const maxEncodedKeyBytes = 128
+
+// maxEncodedSize returns the size that is reserved for further operations, with values of size bytes in total,
+// and further conditions.
+func maxEncodedSize(operations, size, conditions int) int {
+	return size + (operations+conditions)*maxEncodedKeyBytes
+}
+
 // Estimated sizes, in bytes, of additions to a record in the plain format.
 const (
 	assignmentSize       = 24 // tasks of one job with one attempt, without the task indexes
--- a/internal/coordination/commit/write_limiter.go
+++ b/internal/coordination/commit/write_limiter.go
@@ -9,7 +9,7 @@
 
 const (
 	// minTransactionOps is the lowest value to which the maximum number of operations in a
-	// transaction is reduced. With fewer operations, completed tasks could not move from a shard to the
+	// transaction is reduced after a refusal. With fewer operations, completed tasks could not move from a shard to the
 	// record of their job.
 	minTransactionOps = 2
 	// minBurst is the minimum capacity of the token bucket, in write tokens.
@@ -96,6 +96,14 @@
 	return tokens, min(tokens, w.maxTransactionOps)
 }
 
+// MaxConditions returns the present maximum number of conditions in a transaction. It falls with the number of
+// operations after a transaction that was too large.
+func (w *WriteLimiter) MaxConditions() int {
+	limits := w.WriteLimits()
+	limits.TransactionOps = min(limits.TransactionOps, w.maxTransactionOps)
+	return limits.MaxConditions()
+}
+
 // MinBatchOps returns the number of operations from which a batch is worth sending. It is the write
 // budget of minBatchSeconds, but at most a full transaction.
 func (w *WriteLimiter) MinBatchOps() int {
@@ -138,6 +146,14 @@
 	w.maxTransactionOps = max(w.maxTransactionOps/2, minTransactionOps)
 }
 
+// shrinkUnsentTransactions halves the maximum number of operations in a transaction, after a transaction that
+// was built too large to be sent. It reports false if the number is 1 already.
+func (w *WriteLimiter) shrinkUnsentTransactions() (isSmaller bool) {
+	isSmaller = w.maxTransactionOps > 1
+	w.maxTransactionOps = max(w.maxTransactionOps/2, 1)
+	return isSmaller
+}
+
 // resetTransactionOps allows transactions of full size again. After a refusal they grow step by step
 // to one operation less than what was refused.
 func (w *WriteLimiter) resetTransactionOps() {
--- a/internal/coordination/ownership/ownership_test.go
+++ b/internal/coordination/ownership/ownership_test.go
@@ -72,7 +72,6 @@
 		Calls:             agentParts.Calls,
 		Committer:         commitParts.Committer,
 		Lease:             commitParts.Lease,
-		Limits:            commitParts.Limits,
 		SuccessorElection: parts.Manager,
 		PeerNotifier:      parts.Peers,
 		Replication:       commitParts.Replication,
--- a/internal/coordination/ownership/transfers.go
+++ b/internal/coordination/ownership/transfers.go
@@ -51,15 +51,20 @@
 	}
 }
 
-// OpenTransfer records a transfer in a free slot of its target. It writes nothing if no slot is free. An
-// empty name is replaced by a new name. The transaction is conditional on the keys of the shard and of
+// OpenTransfer records a transfer in a free slot of its target. It writes nothing if no slot is free or the batch
+// has no capacity. An empty name is replaced by a new name. The transaction is conditional on the keys of the shard and of
 // both controllers.
 func (t *Transfers) OpenTransfer(
 	batch *commit.Batch, transfer sharding.Transfer, phase storage.TransferPhase, reason, name string,
 ) {
 	slot, ok := t.freeTransferSlot(batch, transfer.Target.Controller())
-	if !ok {
-		return // no slot is free, and the caller tries again
+	dependencies := []string{
+		storage.ShardKey(transfer.Shard),
+		storage.ControllerKey(transfer.Source.Controller()),
+		storage.ControllerKey(transfer.Target.Controller()),
+	}
+	if !ok || !batch.HasCapacityWith(1, dependencies...) {
+		return // the caller tries again
 	}
 	if name == "" {
 		name = t.nextTransferName()
@@ -78,9 +83,9 @@
 		record.PreparedAt = t.Now.Wall
 	}
 	batch.PutTransfer(slot, &record)
-	batch.DependOn(storage.ShardKey(transfer.Shard))
-	batch.DependOn(storage.ControllerKey(transfer.Source.Controller()))
-	batch.DependOn(storage.ControllerKey(transfer.Target.Controller()))
+	for _, key := range dependencies {
+		batch.DependOn(key)
+	}
 	batch.Log(slog.LevelInfo, "shard transfer started",
 		"transfer", name, "shard", string(transfer.Shard), "count", record.MachineCount,
 		"source", string(transfer.Source), "target", string(transfer.Target),
--- a/internal/coordination/requests/drains.go
+++ b/internal/coordination/requests/drains.go
@@ -59,8 +59,12 @@
 	if err := o.checkDrain(request); err != nil {
 		return nil, err
 	}
+	var drainKeys []string
+	for controller := range o.Replica.Controllers {
+		drainKeys = append(drainKeys, storage.DrainKey(controller))
+	}
 	isPostponed := batch.IsPostponed(storage.DrainKey(request.Controller))
-	if isPostponed || !batch.HasCapacity(1) || batch.ChangesDrain(request.Controller) {
+	if isPostponed || !batch.HasCapacityWith(1, drainKeys...) || batch.ChangesDrain(request.Controller) {
 		return nil, nil
 	}
 	change := &commit.DrainChange{}
@@ -68,8 +72,8 @@
 		change.Record = &storage.DrainRecord{Since: o.Now.Wall}
 	}
 	batch.SetDrain(request.Controller, change)
-	for controller := range o.Replica.Controllers {
-		batch.DependOn(storage.DrainKey(controller))
+	for _, key := range drainKeys {
+		batch.DependOn(key)
 	}
 	batch.Log(slog.LevelInfo, "controller drain changed", "controller", string(request.Controller), "draining", request.Drain)
 	return nil, nil
--- a/internal/coordination/requests/fixture_test.go
+++ b/internal/coordination/requests/fixture_test.go
@@ -55,7 +55,6 @@
 		Calls:             agentParts.Calls,
 		Committer:         fixture.commit.Committer,
 		Lease:             fixture.commit.Lease,
-		Limits:            fixture.commit.Limits,
 		SuccessorElection: owners.Manager,
 		PeerNotifier:      owners.Peers,
 		Replication:       fixture.commit.Replication,
--- a/internal/coordination/requests/transfers.go
+++ b/internal/coordination/requests/transfers.go
@@ -117,10 +117,8 @@
 			return newUnsupportedTransferError(controller)
 		}
 	}
-	if batch.HasCapacity(1) {
-		transfer := sharding.Transfer{Shard: shard, Source: source, Target: target.Record.Incarnation}
-		o.transfers.OpenTransfer(batch, transfer, storage.TransferProposed, operatorTransferReason, request.Name)
-	}
+	transfer := sharding.Transfer{Shard: shard, Source: source, Target: target.Record.Incarnation}
+	o.transfers.OpenTransfer(batch, transfer, storage.TransferProposed, operatorTransferReason, request.Name)
 	return nil
 }
 
--- a/internal/coordination/scheduling/reservations.go
+++ b/internal/coordination/scheduling/reservations.go
@@ -77,12 +77,12 @@
 // recordReservation writes the machines that are reserved for a job to the job's record. The batch must
 // have capacity for the change.
 func recordReservation(batch *commit.Batch, id protocol.JobID, placements []placement, message string) {
-	record := batch.MutableJob(id)
-	record.ReservedMachines = nil
+	var machines []protocol.MachineID
 	for _, chosen := range placements {
-		record.ReservedMachines = append(record.ReservedMachines, chosen.machine.id)
+		machines = append(machines, chosen.machine.id)
 	}
-	batch.Log(slog.LevelInfo, message, "job", string(id), "machines", record.ReservedMachines)
+	batch.ReserveMachines(id, machines)
+	batch.Log(slog.LevelInfo, message, "job", string(id), "machines", machines)
 }
 
 // reservedCandidates returns the candidates that the job's record reserves.
--- a/internal/coordination/step/config.go
+++ b/internal/coordination/step/config.go
@@ -52,12 +52,14 @@
 	Tuning
 }
 
-// CurrentLimits returns the store's limits that apply until the announced limits do.
+// CurrentLimits returns the store's limits that apply until the announced limits do. Values stay so small that
+// a transaction holds two of them, which the addition of a machine needs.
 func (cfg *Config) CurrentLimits() WriteLimits {
+	const maxValueBytes = 30 << 10
 	return WriteLimits{
 		WritesPerSecond: cfg.WritesPerSecond,
 		TransactionOps:  cfg.TransactionOps,
-		ValueBytes:      cfg.ValueBytes,
+		ValueBytes:      min(cfg.ValueBytes, maxValueBytes),
 	}
 }
 
--- a/internal/coordination/wiring.go
+++ b/internal/coordination/wiring.go
@@ -37,7 +37,6 @@
 		Calls:             c.agents.Calls,
 		Committer:         c.commit.Committer,
 		Lease:             c.commit.Lease,
-		Limits:            c.commit.Limits,
 		SuccessorElection: c.ownership.Manager,
 		PeerNotifier:      c.ownership.Peers,
 		Replication:       c.commit.Replication,
--- a/internal/protocol/keyvalue.go
+++ b/internal/protocol/keyvalue.go
@@ -19,9 +19,8 @@
 const (
 	// KeyPageSize is the number of keys on one page of a listing.
 	KeyPageSize = 1000
-	// MaxTransactionBytes limits the keys and values of a transaction. The store accepts
-	// 64 KiB; the rest is reserved for the JSON around keys and values.
-	MaxTransactionBytes = 60 << 10
+	// MaxTransactionBytes is the maximum size of an encoded transaction.
+	MaxTransactionBytes = 64 << 10
 )
 
 // Condition is a condition of a transaction. It holds if the key has this ModRevision. Zero
@@ -48,14 +47,39 @@
 	Operations []Operation `json:"then,omitempty"`
 }
 
-// Size returns the total size of the keys and values of the operations, in bytes.
-func (t *Transaction) Size() (size int) {
-	for _, operation := range t.Operations {
-		size += len(operation.Value) + len(operation.PutKey) + len(operation.DeleteKey)
+// Sizes, in bytes, of the JSON around keys, values and lists, with numbers of 20 digits.
+const (
+	conditionFrameBytes   = len(`{"key":"","stamp":18446744073709551615},`)
+	operationFrameBytes   = len(`{"put":"","data":,"tenancy":18446744073709551615},`)
+	transactionFrameBytes = len(`{"when":[],"then":[]}`)
+)
+
+// Size returns the largest size of the encoded condition, in bytes.
+func (c *Condition) Size() int { return conditionFrameBytes + encodedTextSize(c.Key) }
+
+// Size returns the largest size of the encoded operation, in bytes.
+func (o *Operation) Size() int {
+	return operationFrameBytes + encodedTextSize(o.PutKey+o.DeleteKey) + len(o.Value)
+}
+
+// Size returns the largest size of the encoded transaction, in bytes.
+func (t *Transaction) Size() int {
+	size := transactionFrameBytes
+	for i := range t.Conditions {
+		size += t.Conditions[i].Size()
+	}
+	for i := range t.Operations {
+		size += t.Operations[i].Size()
 	}
 	return size
 }
 
+// encodedTextSize returns the size of a text in JSON, without the quotes.
+func encodedTextSize(text string) int {
+	const quotes = 2
+	return len(Encode(text)) - quotes
+}
+
 // TransactionResult is the response to a transaction and to a read of a missing key.
 type TransactionResult struct {
 	Revision   Revision `json:"ledger_rev"`
--- a/internal/simulation/log_messages_test.go
+++ b/internal/simulation/log_messages_test.go
@@ -28,9 +28,10 @@
 }
 
 const (
-	logDrainChanged        logMessage = "machine drain changed"
-	logTasksPlaced         logMessage = "tasks placed"
-	logTransactionConflict logMessage = "transaction conflict"
+	logDrainChanged         logMessage = "machine drain changed"
+	logTasksPlaced          logMessage = "tasks placed"
+	logTransactionConflict  logMessage = "transaction conflict"
+	logTransactionOversized logMessage = "transaction exceeds write limits, not sent"
 )
 
 // scaleInMessages are logged when a machine is returned to the cloud, whether or not the machine is
@@ -104,7 +105,7 @@
 // unnoticed after the message was renamed.
 func TestLogMessagesAreCurrent(t *testing.T) {
 	logged := loggedMessages(t)
-	for _, message := range slices.Concat(scaleInMessages, ownershipMessages, logMessages{logDrainChanged, logTasksPlaced, logTransactionConflict}) {
+	for _, message := range slices.Concat(scaleInMessages, ownershipMessages, logMessages{logDrainChanged, logTasksPlaced, logTransactionConflict, logTransactionOversized}) {
 		if !logged[string(message)] {
 			t.Errorf("no log call has the message %q, which tests look for", message)
 		}
