A machine's record keeps the jobs that were on it when the agent's lease ended

Cause: the deadline for machines with cancelled tasks (3/5 of cancel_s) looks at the tasks that the machine's record assigns. At the end of the lease they are requeued, so the record has none any more, and only the limit for silent machines is left, which is doubled where most machines of a controller are silent. That it is this and not a termination that comes late shows in the log: "tasks requeued", reason "agent lease expired", and no "machine scale-in" with reason "cancelled task does not stop" after it. They are on record, so it holds for a cancellation after the lease's end, after restarts, failovers and transfers. Tasks move as before.

--- a/internal/coordination/agents/reconcile.go
+++ b/internal/coordination/agents/reconcile.go
@@ -110,19 +110,24 @@
 	}
 	heartbeat, updated := state.LatestHeartbeat, batch.MutableMachine(state.ID)
 	r.requeueAll(batch, state, updated, "newer agent epoch")
+	updated.LostJobs = nil
 	updated.AgentEpoch, updated.Address = heartbeat.AgentEpoch, heartbeat.Addr
 	if isFirstEpoch {
 		updated.MachineType, updated.Zone, updated.Spot = heartbeat.Type, heartbeat.Zone, heartbeat.Spot
 	}
 }
 
-// requeueExpired requeues all tasks of a machine whose agent has killed them because its lease expired,
-// and cordons the machine.
+// requeueExpired requeues all tasks of a machine whose agent's lease has expired, and cordons the machine. The
+// tasks cannot continue, so they may run elsewhere. They remain on a machine that hangs until it continues, so
+// the record keeps their jobs, of which any may be cancelled until then.
 func (r *Reconciler) requeueExpired(batch *commit.Batch, state *MachineState) {
 	if !batch.HasCapacity(batch.OpsNeeded(state.ID)) {
 		return
 	}
 	updated := batch.MutableMachine(state.ID)
+	for i := range updated.Assignments {
+		updated.AddLostJob(updated.Assignments[i].Job)
+	}
 	r.requeueAll(batch, state, updated, "agent lease expired")
 	updated.Cordoned = true
 }
--- a/internal/coordination/agents/reconcile_test.go
+++ b/internal/coordination/agents/reconcile_test.go
@@ -1,6 +1,7 @@
 package agents
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -122,6 +123,39 @@
 	}
 }
 
+// TestLostJobs checks that the record of a machine keeps the jobs of the tasks that were requeued because the
+// agent's lease expired, until the agent has begun another epoch. Before the fix the record forgot that a task
+// may still be on a machine that hangs, and with it the time limit for a cancelled one.
+func TestLostJobs(t *testing.T) {
+	fixture := newFixture(t)
+	fixture.putJob(t, `{"d":{"uid":"j-1","shape":"batch","pieces":2,"cores":1}}`)
+	record := storage.MachineRecord{MachineType: "s", Zone: "a", AgentEpoch: 2}
+	record.Assign(protocol.Task{Job: testJob}, 5)
+	entry, _ := fixture.addOwnedMachine(t, record)
+	fixture.receive(steptest.NewHeartbeat(entry, 1,
+		protocol.TaskStatus{Task: protocol.Task{Job: testJob}, Attempt: 5, State: protocol.TaskRunning}))
+	fixture.advance(3 * time.Second)
+	fixture.tick()
+	fixture.advance(20 * time.Second)
+	reconcile := func() *storage.MachineRecord {
+		batch := fixture.commit.ShardWriter.NewBatch(fixture.Config.TransactionOps)
+		fixture.Reconciler.WriteMachines(batch)
+		return batch.MachineRecord(testMachine)
+	}
+	expired := reconcile()
+	if !slices.Equal(expired.LostJobs, []protocol.JobID{testJob}) || len(expired.Assignments) > 0 {
+		t.Errorf("after the lease: lost jobs %v, assignments %v, want job %s lost", expired.LostJobs, expired.Assignments, testJob)
+	}
+	fixture.Put(t, storage.ShardKey(expired.Shard),
+		storage.EncodePlainShard(expired.Owner, expired.ShardEpoch, []string{expired.EncodeLine(testMachine)}, nil), 90)
+	heartbeat := steptest.NewHeartbeat(fixture.Replica.Machines[testMachine], 9)
+	heartbeat.AgentEpoch++
+	fixture.receive(heartbeat)
+	if continued := reconcile(); len(continued.LostJobs) > 0 {
+		t.Errorf("in the next agent epoch: lost jobs %v, want none", continued.LostJobs)
+	}
+}
+
 // writtenCompletedTasks returns the tasks of the job that a transaction records as completed.
 func writtenCompletedTasks(t *testing.T, transaction protocol.Transaction) string {
 	t.Helper()
--- a/internal/coordination/cancellation/forced_scale_in.go
+++ b/internal/coordination/cancellation/forced_scale_in.go
@@ -56,7 +56,8 @@
 		return
 	}
 	unownedIDs := step.SelectKeys(c.Replica.Machines, func(entry *storage.Machine) bool {
-		return !c.lease.OwnsMachine(&entry.Record) && len(entry.Record.Assignments) > 0
+		record := &entry.Record
+		return !c.lease.OwnsMachine(record) && len(record.Assignments)+len(record.LostJobs) > 0
 	})
 	for _, id := range unownedIDs {
 		entry := c.Replica.Machines[id]
@@ -97,6 +98,11 @@
 		}
 		longestAge, isPending = max(longestAge, c.timeSinceCancelRequest(assignment.Job)), true
 	}
+	for _, job := range record.LostJobs {
+		if c.CancelRequested(job) {
+			longestAge, isPending = max(longestAge, c.timeSinceCancelRequest(job)), true
+		}
+	}
 	return longestAge, isPending
 }
 
--- a/internal/storage/machine_line.go
+++ b/internal/storage/machine_line.go
@@ -15,13 +15,16 @@
 //	ID address type zone added-at epoch[+counter] flags [job.attempt.tasks]...
 //
 // An empty field is written as a dash. Address, type and zone are query-escaped. The time
-// added-at is in milliseconds, in base 36.
+// added-at is in milliseconds, in base 36. The field flags holds one letter for each flag that is
+// set, and after them the lost jobs, each with a colon before it. Versions that do not know lost
+// jobs look for the letters only, which no job ID contains, and drop the list when they write.
 const (
 	lineFields          = 7 // number of fields before the assignments
 	emptyField          = "-"
 	addedAtBase         = 36
 	assignmentSeparator = "."
 	counterSeparator    = "+"
+	lostJobSeparator    = ":"
 )
 
 // Flags of a machine's line.
@@ -75,6 +78,9 @@
 	if m.Cordoned {
 		flags += cordonedFlag
 	}
+	for _, job := range m.LostJobs {
+		flags += lostJobSeparator + string(job)
+	}
 	return flags
 }
 
@@ -112,6 +118,10 @@
 	if err != nil {
 		return "", record, fmt.Errorf("%w %q: agent epoch or token counter: %w", errMalformedLine, line, err)
 	}
+	flags, lostJobs, err := parseFlagsField(fields[6])
+	if err != nil {
+		return "", record, fmt.Errorf("%w %q: %w", errMalformedLine, line, err)
+	}
 	record = MachineRecord{
 		Address:      textFields[0],
 		MachineType:  protocol.MachineTypeName(textFields[1]),
@@ -119,9 +129,10 @@
 		AddedAt:      protocol.Millis(addedAt),
 		AgentEpoch:   agentEpoch,
 		TokenCounter: counter,
-		Spot:         strings.Contains(fields[6], spotFlag),
-		Terminating:  strings.Contains(fields[6], terminatingFlag),
-		Cordoned:     strings.Contains(fields[6], cordonedFlag),
+		Spot:         strings.Contains(flags, spotFlag),
+		Terminating:  strings.Contains(flags, terminatingFlag),
+		Cordoned:     strings.Contains(flags, cordonedFlag),
+		LostJobs:     lostJobs,
 	}
 	for _, field := range fields[lineFields:] {
 		assignment, err := parseAssignment(field)
@@ -133,6 +144,19 @@
 	return id, record, nil
 }
 
+// parseFlagsField parses the field that holds the letters of the flags and the lost jobs.
+func parseFlagsField(field string) (flags string, lostJobs []protocol.JobID, err error) {
+	parts := strings.Split(field, lostJobSeparator)
+	for _, part := range parts[1:] {
+		job := protocol.JobID(part)
+		if !job.IsValid() {
+			return "", nil, fmt.Errorf("flags %q: invalid ID of a lost job", field)
+		}
+		lostJobs = append(lostJobs, job)
+	}
+	return parts[0], lostJobs, nil
+}
+
 // parseEpochField parses the field that holds the agent's epoch and the token counter. The
 // returned counter is zero if the field does not contain it.
 func parseEpochField(field string) (epoch protocol.AgentEpoch, counter uint64, err error) {
--- a/internal/storage/machine_line_test.go
+++ b/internal/storage/machine_line_test.go
@@ -3,9 +3,22 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
+
+	"tillerarch/internal/protocol"
 )
 
+// TestLostJobsUnseenByOlderVersions checks that a version which does not know lost jobs reads the same flags.
+// Such a version looks for the letter of each flag anywhere in the field.
+func TestLostJobsUnseenByOlderVersions(t *testing.T) {
+	record := MachineRecord{MachineType: "g8", LostJobs: []protocol.JobID{"j-0123456789"}}
+	flags := strings.Split(record.EncodeLine("m-1"), " ")[6]
+	if strings.ContainsAny(flags, spotFlag+terminatingFlag+cordonedFlag) {
+		t.Errorf("flags %q contain the letter of a flag that is not set", flags)
+	}
+}
+
 // TestMachineLineRoundTrip checks that the parsed line of a machine equals the encoded record whatever
 // its fields contain, and that malformed lines are rejected.
 func TestMachineLineRoundTrip(t *testing.T) {
@@ -31,6 +44,8 @@
 			Cordoned:    true,
 			AgentEpoch:  1,
 		}},
+		{"lost jobs", MachineRecord{MachineType: "g8", Cordoned: true, LostJobs: []protocol.JobID{"j-000412", "j-7"}}},
+		{"lost jobs without a flag", MachineRecord{MachineType: "g8", LostJobs: []protocol.JobID{"j-000412"}}},
 		{"assignments, a dash as zone", MachineRecord{
 			MachineType: "g8",
 			Zone:        "-",
@@ -59,6 +74,7 @@
 		{"assignment without tasks", "m-1 a b c 1 1 - j-1.1"},
 		{"malformed attempt", "m-1 a b c 1 1 - j-1.x.0"},
 		{"assignment with empty tasks", "m-1 a b c 1 1 - j-1.1."},
+		{"malformed lost job", "m-1 a b c 1 1 x:j-relax"},
 		{"malformed tasks", "m-1 a b c 1 1 - j-1.1.5-2"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"iter"
+	"slices"
 	"strings"
 
 	"tillerarch/internal/protocol"
@@ -99,19 +100,29 @@
 	MachineType  protocol.MachineTypeName
 	Zone         protocol.Zone
 	Spot         bool
-	Terminating  bool            // the machine may disappear at any moment and gets no tasks
-	Cordoned     bool            // the machine gets no new tasks
-	AddedAt      protocol.Millis // when the machine was provisioned or first seen
+	Terminating  bool // the machine may disappear at any moment and gets no tasks
+	Cordoned     bool // the machine gets no new tasks
+	// LostJobs lists the jobs that had a task on the machine when the agent's lease expired. The tasks
+	// cannot continue, but are on the machine until the agent has begun another epoch.
+	LostJobs []protocol.JobID
+	AddedAt  protocol.Millis // when the machine was provisioned or first seen
 }
 
-// Clone returns a copy of the record. Changes to the list of assignments of the copy do not
-// affect the original.
+// Clone returns a copy of the record. Changes to the lists of the copy do not affect the original.
 func (m *MachineRecord) Clone() *MachineRecord {
 	clone := *m
 	clone.Assignments = append([]Assignment(nil), m.Assignments...)
+	clone.LostJobs = slices.Clone(m.LostJobs)
 	return &clone
 }
 
+// AddLostJob adds a job to LostJobs unless the list has it.
+func (m *MachineRecord) AddLostJob(job protocol.JobID) {
+	if !slices.Contains(m.LostJobs, job) {
+		m.LostJobs = append(m.LostJobs, job)
+	}
+}
+
 // AttemptOf returns the attempt under which a task is assigned to the machine. It returns false
 // if the task is not assigned to it.
 func (m *MachineRecord) AttemptOf(task protocol.Task) (protocol.Attempt, bool) {
