No copy of a start can reach an agent as a new command; a reply belongs to its exchange

By direct calls: no. They carry stops only, each with its attempt. Starts and forgets go in replies to heartbeats, which an agent takes for the heartbeat that waits, within 4 s, in the same agent epoch and not under a lower token. By reply: Server.Reply looked at the connection, not at the exchange. A second reply to a request would have been sent as the response to the next one on that connection, with its starts. The daemon answers each request once, so it was not seen to happen; it is excluded now. Change: the connection holds the exchange that waits. TestSecondReplyIsDropped failed before (the copy of the first reply was read as the second).

--- a/internal/simulation/fault_combinations_test.go
+++ b/internal/simulation/fault_combinations_test.go
@@ -81,7 +81,8 @@
 	w.sendUnusualRequests(seconds(10), faultsEnd-seconds(5))
 	inject(w)
 	w.Advance(faultsEnd)
-	w.MessageLossRate, w.DuplicateHeartbeatRate, w.CancelAtEndRate, w.LostWriteReplyRate, w.DelayedCommandRate = 0, 0, 0, 0, 0
+	w.MessageLossRate, w.DuplicateHeartbeatRate, w.CancelAtEndRate, w.LostWriteReplyRate = 0, 0, 0, 0
+	w.DelayedCommandRate, w.RepeatedCommandRate = 0, 0
 	w.Rules.FaultsEndedAt = w.Now
 	w.Advance(recoveryTime)
 	w.Rules.CheckFinal(w.Now)
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -1,9 +1,11 @@
 package simulation
 
 import (
+	"net/http"
 	"time"
 
 	"tillerarch/internal/coordination/step"
+	"tillerarch/internal/protocol"
 )
 
 // messageDelay returns the delay of a message. One message in fifty takes up to 0.3 s longer.
@@ -136,10 +138,31 @@
 			}
 			response := heartbeatReply{status: status, body: replyBody, sender: controller.processName()}
 			w.After(w.messageDelay(), func() { reply(response) })
+			w.repeatLater(func() { reply(response) })
 		})
 	})
 }
 
+// repeatLater performs a delivery once more for some messages, 0.1 to 20 s later.
+func (w *World) repeatLater(deliver func()) {
+	if w.RepeatedCommandRate > 0 && w.Rand.Float64() < w.RepeatedCommandRate {
+		w.After(time.Duration(100+w.Rand.IntN(20000))*time.Millisecond, deliver)
+	}
+}
+
+// repeatCommands delivers some direct commands, which the agent has executed, once more. The agent executes them
+// again if the fencing token and the agent epoch still match.
+func (w *World) repeatCommands(machine *Machine, commands protocol.Commands) {
+	w.repeatLater(func() {
+		if machine.Terminated || machine.hung {
+			return
+		}
+		if status, _ := machine.ExecuteCommands(commands); status == http.StatusOK {
+			w.RepeatedCommands += len(commands.Commands)
+		}
+	})
+}
+
 // duplicateHeartbeat delivers a copy of some heartbeats to any controller, 0.5 to 40.5 s later,
 // which may be well after the expiry of an agent's lease.
 func (w *World) duplicateHeartbeat(body []byte) {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -37,6 +37,7 @@
 	DelayedWriteRate       float64                       // transactions that get no reply and are applied 2 to 12 s later
 	LostWriteReplyRate     float64                       // transactions that are applied at once and whose replies are lost
 	DelayedCommandRate     float64                       // direct commands that get no reply and are executed once, 2 to 16 s late
+	RepeatedCommandRate    float64                       // direct commands and replies that reach the agent once more, 0.1 to 20 s late
 	MaxStoreDelay          time.Duration                 // upper bound of the additional delay of requests to the store
 	MaxNetworkDelay        time.Duration                 // upper bound of the additional delay of messages
 	CloudUnreachable       bool
@@ -46,6 +47,7 @@
 	// Observations.
 	StartCommandCount int                     // number of start commands that agents have accepted
 	FinishedJobs      map[protocol.JobID]bool // jobs whose users know that they have ended
+	RepeatedCommands  int                     // number of direct commands that agents have executed once more
 	SavedTaskCounts   map[protocol.JobID]int  // number of tasks that saved their progress when they were stopped
 	StepCosts         StepCosts               // cost of the cores' steps, which is not measured if nil
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -58,7 +58,7 @@
 type serverConn struct {
 	evioConn           evio.Conn
 	input              []byte    // bytes of an incomplete request or frame
-	awaitingResponse   bool      // a request waits for its response
+	exchange           *Exchange // the request that waits for its response, or nil
 	pendingResponse    []byte    // a response that the loop has not taken
 	closeAfterResponse bool      // the connection is closed after the response that is due, or at once if none is
 	lastActivity       time.Time // time of the first byte of a request, or of the last response
@@ -167,23 +167,23 @@
 	case len(input) == 0:
 		return s.onWake(conn)
 	}
-	request, output, action := s.receiveInput(conn, input)
-	if request == nil {
+	exchange, output, action := s.receiveInput(conn, input)
+	if exchange == nil {
 		return output, action
 	}
-	s.handler(&Exchange{Request: request, conn: conn}) // without the lock, which Reply acquires
+	s.handler(exchange) // without the lock, which Reply acquires
 	return s.onHandlerReturned(conn)
 }
 
-// receiveInput adds input to the buffer of a connection. It returns a request once the
-// request is complete, and otherwise the output and the action for evio.
-func (s *Server) receiveInput(conn *serverConn, input []byte) (request *Request, output []byte, action evio.Action) {
+// receiveInput adds input to the buffer of a connection. It returns an exchange once a request
+// is complete, and otherwise the output and the action for evio.
+func (s *Server) receiveInput(conn *serverConn, input []byte) (exchange *Exchange, output []byte, action evio.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if conn.closeAfterResponse {
 		return nil, nil, evio.Close
 	}
-	if conn.awaitingResponse {
+	if conn.exchange != nil {
 		return nil, nil, conn.bufferEarlyInput(input)
 	}
 	if len(conn.input) == 0 {
@@ -206,8 +206,8 @@
 	if cap(conn.input) > maxRetainedInputBytes {
 		conn.input = nil
 	}
-	conn.awaitingResponse, conn.inHandler = true, true
-	return request, nil, evio.None
+	conn.exchange, conn.inHandler = &Exchange{Request: request, conn: conn}, true
+	return conn.exchange, nil, evio.None
 }
 
 // bufferEarlyInput stores input that arrives before the response to the last request is
@@ -243,13 +243,13 @@
 	output := c.pendingResponse
 	c.pendingResponse = nil
 	if output != nil {
-		c.awaitingResponse = false
+		c.exchange = nil
 		c.lastActivity = time.Now()
 		if len(c.input) > 0 {
 			c.closeAfterResponse = true
 		}
 	}
-	if c.closeAfterResponse && !c.awaitingResponse {
+	if c.closeAfterResponse && c.exchange == nil {
 		return output, evio.Close
 	}
 	return output, evio.None
@@ -284,12 +284,13 @@
 }
 
 // Reply sends the response to an exchange. It does nothing if the exchange already has a
-// response or the connection is closed. It may be called from any goroutine.
+// response, also if a later request on the connection waits for its own, or if the connection is
+// closed. It may be called from any goroutine.
 func (s *Server) Reply(exchange *Exchange, status, retryAfterSeconds int, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conn := exchange.conn
-	if conn.isClosed || !conn.awaitingResponse || conn.pendingResponse != nil {
+	if conn.isClosed || conn.exchange != exchange || conn.pendingResponse != nil {
 		return
 	}
 	buf := make([]byte, 0, responseHeadBytes+len(body))
@@ -325,7 +326,7 @@
 		if len(conn.input) > 0 {
 			timeout = s.config.ReadTimeout
 		}
-		if conn.awaitingResponse || now.Sub(conn.lastActivity) < timeout {
+		if conn.exchange != nil || now.Sub(conn.lastActivity) < timeout {
 			continue
 		}
 		if conn.closeRequested {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -230,3 +230,40 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// A second reply to a request must not be sent as the response to the next request on its connection. A late copy
+// of the commands for an agent would be executed otherwise.
+func TestSecondReplyIsDropped(t *testing.T) {
+	exchanges := make(chan *Exchange, 2)
+	server := NewServer(testConfig(t, 20), func(exchange *Exchange) { exchanges <- exchange })
+	runServer(t, server)
+	conn, err := net.Dial("tcp4", server.config.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(8 * time.Second))
+	reader := bufio.NewReader(conn)
+	exchangeWith := func(path string) *Exchange {
+		io.WriteString(conn, "GET "+path+" HTTP/1.1\r\n\r\n")
+		return receiveWithTimeout(t, exchanges)
+	}
+	receiveBody := func() string {
+		response, err := readResponse(reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(response.Body)
+	}
+	first := exchangeWith("/first")
+	server.Reply(first, 200, 0, []byte("first"))
+	if got := receiveBody(); got != "first" {
+		t.Fatalf("body %q, want the first reply", got)
+	}
+	second := exchangeWith("/second")
+	server.Reply(first, 200, 0, []byte("copy of first"))
+	server.Reply(second, 200, 0, []byte("second"))
+	if got := receiveBody(); got != "second" {
+		t.Errorf("body %q, want the second reply", got)
+	}
+}
