A change of the storage format that can never be sent delays no records

From 4 x txn_ops controllers on, or if the store refuses it, it was built and sent again before every batch of records, so that no record was written any more. Test: TestFormatChangeTooLargeDelaysNoOthers (txn_ops 2, nine controllers), failed before: the change was sent.

--- a/internal/coordination/commit/format_upgrade.go
+++ b/internal/coordination/commit/format_upgrade.go
@@ -92,26 +92,38 @@
 	return min(newest, u.readableFormats[u.Config.ControllerID])
 }
 
-// tryRaiseFormat sends the change of the format if it is due. It reports whether it sent the change.
+// tryRaiseFormat sends the change of the format if it is due. It reports whether it sent the change. A change
+// that the store would not accept or has refused is left out for a while, so that records are written meanwhile.
 func (u *FormatUpgrade) tryRaiseFormat() bool {
 	if !u.canRaiseFormat() {
 		u.raisableSince = 0
 		return false
 	}
+	if u.committer.shards.isPostponed(storage.FormatKey) {
+		return false
+	}
 	if u.raisableSince == 0 {
 		u.raisableSince = u.Now.Monotonic
 	}
 	isOurTurn := u.election.IsSuccessor(storage.FormatKey) || u.Since(u.raisableSince) >= raiseFormatDelay
-	if !isOurTurn || !u.limits.takeWriteTokens(1) {
+	if !isOurTurn {
 		return false
 	}
 	format := u.raisableFormat()
 	record := storage.FormatRecord{WriteFormat: format, UpdatedBy: u.lease.incarnation}
+	transaction := protocol.Transaction{
+		Conditions: u.formatChangeConditions(),
+		Operations: []protocol.Operation{{PutKey: storage.FormatKey, Value: storage.MustMarshal(record)}},
+	}
+	if !u.limits.WriteLimits().Allows(&transaction) {
+		u.committer.postponeRecords(&transaction, "transaction too large")
+		return false
+	}
+	if !u.limits.takeWriteTokens(1) {
+		return false
+	}
 	u.committer.sendTransaction(&pendingTransaction{
-		transaction: protocol.Transaction{
-			Conditions: u.formatChangeConditions(),
-			Operations: []protocol.Operation{{PutKey: storage.FormatKey, Value: storage.MustMarshal(record)}},
-		},
+		transaction: transaction,
 		logsOnApply: []step.Effect{step.Log{Level: slog.LevelInfo, Message: "storage format raised", Args: []any{"format", int(format)}}},
 	})
 	return true
--- a/internal/coordination/commit/format_upgrade_test.go
+++ b/internal/coordination/commit/format_upgrade_test.go
@@ -154,3 +154,28 @@
 			upgrade.areAnnouncedLimitsActive, ops)
 	}
 }
+
+// A change of the format that rests on more controllers than a transaction may have conditions is not sent. Records
+// are written all the same. Before the fix it was sent again and again, and nothing else.
+func TestFormatChangeTooLargeDelaysNoOthers(t *testing.T) {
+	controller := newReadyController(t)
+	controller.Config.AnnouncedLimits = steptest.AnnouncedLimits()
+	controller.Config.TransactionOps = 2
+	for i := range controller.Limits.WriteLimits().MaxConditions() {
+		id := protocol.ControllerID(fmt.Sprintf("stall-%d", i+1))
+		controller.Config.PeerIDs = append(controller.Config.PeerIDs, id)
+		putController(t, controller, id, storage.NewestFormat)
+	}
+	putController(t, controller, controller.Config.ControllerID, storage.NewestFormat)
+	if !controller.Upgrade.canRaiseFormat() {
+		t.Fatal("the format cannot be raised, want all controllers to read the newest")
+	}
+
+	for range 3 {
+		controller.Advance(postponeDelay)
+		controller.Effects = nil
+		if isReady := controller.Committer.PrepareForRecordBatch(); !isReady || sentTransaction(controller.Effects) != nil {
+			t.Fatalf("batch of records may be sent: %v, transaction sent: %+v, want the batch", isReady, sentTransaction(controller.Effects))
+		}
+	}
+}
