--- a/internal/simulation/effects.go
+++ b/internal/simulation/effects.go
@@ -217,7 +217,6 @@
 // the machine resumes, if the fencing token and the agent epoch still match. If the machine is
 // partitioned, only the reply is lost.
 func (c *Controller) sendCommands(effect step.SendCommands) {
-	c.checkDirectCommands(effect)
 	if rate := c.world.DelayedCommandRate; rate > 0 && c.world.Rand.Float64() < rate {
 		c.delayCommands(effect)
 		return
@@ -241,16 +240,6 @@
 	}, step.AgentResult{Machine: effect.Machine, Err: errNoReply})
 }
 
-// checkDirectCommands checks that no task is started or forgotten by a direct call. A copy of such a call may reach
-// the agent long after the call was answered, when the task has been forgotten and runs elsewhere.
-func (c *Controller) checkDirectCommands(effect step.SendCommands) {
-	for _, command := range effect.Commands.Commands {
-		if command.Type != protocol.CommandStop {
-			c.world.Rules.recordViolation("direct_start", "%s sends %s of %s to %s by a direct call", c.ID, command.Type, command.Task, effect.Machine)
-		}
-	}
-}
-
 // delayCommands executes direct commands seconds late, also if their sender has ended meanwhile.
 // There is no reply.
 func (c *Controller) delayCommands(effect step.SendCommands) {
--- a/internal/simulation/late_commands_test.go
+++ b/internal/simulation/late_commands_test.go
@@ -65,7 +65,7 @@
 
 // TestRepeatedCommands lets commands that were carried out and answered reach their agents once more, while
 // controllers and machines are back within a second and tasks are moved and cancelled. No task may start again
-// by such a copy: a direct call may carry stops only (Controller.checkDirectCommands), and an agent takes a
+// by such a copy: a direct call may carry stops only (Machine.checkDirectCommands), and an agent takes a
 // reply only for the heartbeat that waits for it.
 func TestRepeatedCommands(t *testing.T) {
 	for _, test := range []struct {
