Transactions that were built smaller grow again after a second

Cause (found on reading the change again): a transaction that is built too large halves the next one, down to one operation. Transactions grow again once one is applied; if all that is due needs two operations, as the addition of a machine does, none would be. Test: TestUnsendableTransactionDelaysNoOthers asks for the full size after that second; failed before (1 operation).

--- a/internal/coordination/commit/batch_capacity_test.go
+++ b/internal/coordination/commit/batch_capacity_test.go
@@ -202,4 +202,8 @@
 	if !batch.HasCapacity(batch.OpsNeeded("", crowdedJob(1))) {
 		t.Error("the next batch has no capacity for the record of another job")
 	}
+	controller.Advance(shrinkDuration)
+	if _, maxOps := controller.Limits.Budget(); maxOps != limits.TransactionOps {
+		t.Errorf("a transaction may have %d operations %v later, want %d", maxOps, shrinkDuration, limits.TransactionOps)
+	}
 }
--- a/internal/coordination/commit/write_limiter.go
+++ b/internal/coordination/commit/write_limiter.go
@@ -1,9 +1,12 @@
 package commit
 
 import (
+	"time"
+
 	"golang.org/x/time/rate"
 
 	"tillerarch/internal/coordination/step"
+	"tillerarch/internal/protocol"
 	"tillerarch/internal/storage"
 )
 
@@ -12,6 +15,9 @@
 	// transaction is reduced after a refusal. With fewer operations, completed tasks could not move from a shard to the
 	// record of their job.
 	minTransactionOps = 2
+	// shrinkDuration is how long transactions stay small after one was built too large, if none is applied
+	// meanwhile. A change that needs several operations waits for so long.
+	shrinkDuration = time.Second
 	// minBurst is the minimum capacity of the token bucket, in write tokens.
 	minBurst = 4
 	// userTokensDivisor determines the number of write tokens that are reserved for users' requests:
@@ -36,8 +42,9 @@
 	*step.Context
 
 	limiter           *rate.Limiter
-	writeRate         float64 // operations per second that this controller allows itself
-	maxTransactionOps int     // present maximum number of operations in a transaction
+	writeRate         float64          // operations per second that this controller allows itself
+	maxTransactionOps int              // present maximum number of operations in a transaction
+	shrunkAt          protocol.Instant // when maxTransactionOps was reduced for a transaction that was not sent, or 0
 	observed          observedLimits
 	needsNewerFormat  bool // a record can only be written in a newer storage format
 }
@@ -92,6 +99,9 @@
 // Budget returns the number of operations that may be written now, and how many of them one
 // transaction may hold.
 func (w *WriteLimiter) Budget() (tokens, maxOps int) {
+	if w.shrunkAt != 0 && w.Since(w.shrunkAt) >= shrinkDuration {
+		w.resetTransactionOps()
+	}
 	tokens = int(w.limiter.TokensAt(w.LimiterTime()))
 	return tokens, min(tokens, w.maxTransactionOps)
 }
@@ -151,12 +161,14 @@
 func (w *WriteLimiter) shrinkUnsentTransactions() (isSmaller bool) {
 	isSmaller = w.maxTransactionOps > 1
 	w.maxTransactionOps = max(w.maxTransactionOps/2, 1)
+	w.shrunkAt = w.Now.Monotonic
 	return isSmaller
 }
 
 // resetTransactionOps allows transactions of full size again. After a refusal they grow step by step
 // to one operation less than what was refused.
 func (w *WriteLimiter) resetTransactionOps() {
+	w.shrunkAt = 0
 	w.observed.expire(w.Now.Monotonic)
 	limits := w.WriteLimits()
 	if w.observed.refusedOps == 0 {
