No task is placed or started while the cancellation of its job is being written

Cause: a cancellation in one write checks that the job's tasks are quiescent when it is sent. Until it is applied, the same controller went on to place tasks of the job (placements rest on the job's revision, which is still the old one) and to answer heartbeats with their start. Change: from the moment at which a controller drives a cancellation it places and starts no task of the job, as it does once the request is on record. Tests: TestNoStartWhileCancellationIsWritten, two rows, both failed before (a start; a placement).

--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -114,7 +114,7 @@
 // tasks of a gang may start only when the whole gang is assigned.
 func (l *commandList) mayStartAttempt(assignment *storage.Assignment) bool {
 	job := l.handler.Replica.Jobs[assignment.Job]
-	if job == nil || job.Record.State.IsTerminal() || l.handler.cancellations.CancelRequested(assignment.Job) ||
+	if job == nil || job.Record.State.IsTerminal() || l.handler.cancellations.IsCancelling(assignment.Job) ||
 		isGracefullyStopped(&job.Record, assignment.Attempt) {
 		return false
 	}
--- a/internal/coordination/agents/fixture_test.go
+++ b/internal/coordination/agents/fixture_test.go
@@ -107,6 +107,7 @@
 type fakeCancellations map[protocol.JobID]bool
 
 func (f fakeCancellations) CancelRequested(id protocol.JobID) bool { return f[id] }
+func (f fakeCancellations) IsCancelling(id protocol.JobID) bool    { return f[id] }
 
 // fakeScaleIn never terminates a machine.
 type fakeScaleIn struct{}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -11,9 +11,11 @@
 	"tillerarch/internal/storage"
 )
 
-// CancellationChecker reports whether the cancellation of a job has been requested.
+// CancellationChecker reports whether the cancellation of a job has been requested. IsCancelling also holds while
+// this controller is about to record the request.
 type CancellationChecker interface {
 	CancelRequested(id protocol.JobID) bool
+	IsCancelling(id protocol.JobID) bool
 }
 
 // PlacementForecast reports whether the plan has tasks for a machine that are not recorded yet.
--- a/internal/coordination/cancellation/canceller.go
+++ b/internal/coordination/cancellation/canceller.go
@@ -86,6 +86,13 @@
 	return ok
 }
 
+// IsCancelling reports whether CancelRequested holds or this controller is about to record a cancellation of the
+// job. From then on it places and starts no task of the job: the cancellation may be recorded at any moment, and
+// the user is told at once.
+func (c *Canceller) IsCancelling(id protocol.JobID) bool {
+	return c.isRequester(id) || c.CancelRequested(id)
+}
+
 // isCancelRecorded reports whether the replica records a job as cancelled or its cancellation as
 // requested.
 func (c *Canceller) isCancelRecorded(id protocol.JobID) bool {
--- a/internal/coordination/cancellation_test.go
+++ b/internal/coordination/cancellation_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -202,3 +203,52 @@
 		})
 	}
 }
+
+// While a cancellation that takes one write is on its way, no task of the job is placed or started: the user is
+// told as soon as the write is applied. Before the fix a task that was placed or started meanwhile began to run
+// after that.
+func TestNoStartWhileCancellationIsWritten(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		isAssigned bool // the job's tasks are on record, and not started yet
+	}{
+		{"tasks assigned", true},
+		{"no task assigned", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			core, advance := newReadyCore(t)
+			advance(0, step.ListMachineTypesResult{MachineTypes: []protocol.MachineType{steptest.SmallMachineType()}})
+			self := core.commit.Lease.Incarnation()
+			job := storage.JobRecord{
+				Spec:        &protocol.Job{ID: "j-1", Team: "core", Kind: protocol.KindArray, TaskCount: 2, Cores: 1},
+				Owner:       self,
+				NextAttempt: step.AttemptBlockSize,
+			}
+			putRecord(t, core, storage.JobKey("j-1"), storage.MustMarshal(job), 2)
+			record := storage.MachineRecord{MachineType: steptest.SmallMachineType().Name, Zone: "a", AgentEpoch: 2}
+			if test.isAssigned {
+				record.Assign(protocol.Task{Job: "j-1"}, 5)
+				record.Assign(protocol.Task{Job: "j-1", Index: 1}, 5)
+			}
+			machine, state := addOwnedMachine(t, core, record)
+			state.RecordHeartbeat(steptest.NewHeartbeat(machine, 1), core.ctx.Now.Monotonic)
+			sent := steptest.EffectsOf[step.Commit](advance(0, step.UserInput{RequestID: 1, Type: protocol.RequestCancel, Job: "j-1"}))
+			if len(sent) != 1 {
+				t.Fatalf("%d transactions after the user's request, want the cancellation in one write", len(sent))
+			}
+			heartbeat := steptest.NewHeartbeat(machine, 2)
+			effects := advance(50*time.Millisecond, step.HeartbeatInput{RequestID: 2, Body: protocol.Encode(heartbeat)})
+			for range 20 { // the answer may be deferred, and the next plan is due
+				effects = append(effects, advance(50*time.Millisecond, step.Tick{})...)
+			}
+			for _, reply := range steptest.EffectsOf[step.Reply](effects) {
+				if strings.Contains(string(reply.Body), string(protocol.CommandStart)) {
+					t.Errorf("reply %s, want no start", reply.Body)
+				}
+			}
+			for _, transaction := range steptest.EffectsOf[step.Commit](effects) {
+				t.Errorf("transaction %+v, want no placement", transaction)
+			}
+		})
+	}
+}
--- a/internal/coordination/scheduling/fixture_test.go
+++ b/internal/coordination/scheduling/fixture_test.go
@@ -107,6 +107,8 @@
 		Ownership:   ownershipParts.Manager,
 		Committer:   commitParts.Committer,
 		Stopper:     agentsParts.Stopper,
+
+		CancellationChecker: noCancellations{},
 	})
 	return &schedulingFixture{
 		Fixture:      base,
@@ -118,6 +120,11 @@
 	}
 }
 
+// noCancellations is a CancellationChecker without cancellations.
+type noCancellations struct{}
+
+func (noCancellations) IsCancelling(protocol.JobID) bool { return false }
+
 // newArrayJob returns an array job with ten tasks. Each task needs the given number of cores and as many
 // GB of memory, and is estimated to run for the given number of seconds.
 func newArrayJob(cores, estimate float64) *protocol.Job {
--- a/internal/coordination/scheduling/job_acquisition.go
+++ b/internal/coordination/scheduling/job_acquisition.go
@@ -22,14 +22,20 @@
 	anyControllerDelay = 10 * time.Second
 )
 
+// CancellationChecker reports whether a job is being cancelled, also while this controller is about to record that.
+type CancellationChecker interface {
+	IsCancelling(id protocol.JobID) bool
+}
+
 // jobAcquirer acquires jobs for this controller and determines which of their tasks are to be placed.
 type jobAcquirer struct {
 	*step.Context
 
-	jobs      *agents.JobTable
-	lease     *commit.Lease
-	limits    *commit.WriteLimiter
-	ownership *ownership.Manager
+	cancellations CancellationChecker
+	jobs          *agents.JobTable
+	lease         *commit.Lease
+	limits        *commit.WriteLimiter
+	ownership     *ownership.Manager
 }
 
 // acquireJob acquires a job whose owner has expired. For a job that this incarnation owns already, it
@@ -73,7 +79,7 @@
 	self := ja.lease.Incarnation()
 	entry := ja.Replica.Jobs[job.id]
 	hasAttempt := attemptsOf(ja.jobs, job.id).hasUnusedAttempt(self)
-	if entry == nil || entry.Record.Owner != self || !hasAttempt {
+	if entry == nil || entry.Record.Owner != self || !hasAttempt || ja.cancellations.IsCancelling(job.id) {
 		return false
 	}
 	isReplicaUpToDate := ja.Replica.Revision >= protocol.Revision(entry.ModRevision)
--- a/internal/coordination/scheduling/parts.go
+++ b/internal/coordination/scheduling/parts.go
@@ -80,6 +80,8 @@
 	Ownership   *ownership.Manager
 	Committer   *commit.Committer
 	Stopper     *agents.TaskStopper
+
+	CancellationChecker CancellationChecker
 }
 
 // Connect connects the parts with those of other packages.
@@ -98,6 +100,7 @@
 	p.backfill.agents = dependencies.Agents
 	p.backfill.catalog = dependencies.Catalog
 	p.backfill.jobs = dependencies.Jobs
+	p.acquirer.cancellations = dependencies.CancellationChecker
 	p.acquirer.jobs = dependencies.Jobs
 	p.acquirer.lease = dependencies.Lease
 	p.acquirer.limits = dependencies.Limits
--- a/internal/coordination/wiring.go
+++ b/internal/coordination/wiring.go
@@ -77,6 +77,8 @@
 		Ownership:   c.ownership.Manager,
 		Committer:   c.commit.Committer,
 		Stopper:     c.agents.Stopper,
+
+		CancellationChecker: c.cancellation.Canceller,
 	})
 	c.requests.Connect(requests.Dependencies{
 		Lease:         c.commit.Lease,
